--- /dev/null
+++ b/apps/chervilmux/platform_session.h
@@ -0,0 +1,67 @@
+/// \file
+/// Defines blocking calls to the platform for a command that runs once.
+
+#ifndef CHERVILMUX_APPS_CHERVILMUX_PLATFORM_SESSION_H_
+#define CHERVILMUX_APPS_CHERVILMUX_PLATFORM_SESSION_H_
+
+#include <cstdint>
+#include <future>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "kernel/task.h"
+#include "platform/http_platform.h"
+
+namespace chervilmux::command {
+
+class PlatformSession {
+ public:
+  PlatformSession(const net::Address& address, kernel::Duration timeout)
+      : platform(this->task, address, timeout) {
+    this->task.Start();
+  }
+
+  platform::TableReply ReadRow(std::string_view key) {
+    return this->Wait<platform::TableReply>(
+        [&](auto done) { this->platform.ReadRow(key, std::move(done)); });
+  }
+
+  platform::TableReply WriteRow(std::string_view key, std::string_view value,
+                                std::uint64_t expected) {
+    return this->Wait<platform::TableReply>([&](auto done) {
+      this->platform.WriteRow(key, value, expected, std::move(done));
+    });
+  }
+
+  platform::ObjectReply ReadObject(std::string_view name) {
+    return this->Wait<platform::ObjectReply>(
+        [&](auto done) { this->platform.ReadObject(name, std::move(done)); });
+  }
+
+  bool WriteObject(std::string_view name, std::string_view content) {
+    return this->Wait<bool>([&](auto done) {
+      this->platform.WriteObject(name, content, std::move(done));
+    });
+  }
+
+ private:
+  /// Starts a call on the task's thread and waits for its answer. The callers'
+  /// arguments stay alive meanwhile.
+  template <typename Reply, typename Start>
+  Reply Wait(Start start) {
+    std::promise<Reply> promise;
+    this->task.Post([&] {
+      start([&](Reply reply) { promise.set_value(std::move(reply)); });
+    });
+    return promise.get_future().get();
+  }
+
+  kernel::ReactorTask task;
+  platform::HttpPlatform platform;
+};
+
+}  // namespace chervilmux::command
+
+#endif  // CHERVILMUX_APPS_CHERVILMUX_PLATFORM_SESSION_H_
--- /dev/null
+++ b/src/kernel/time.h
@@ -0,0 +1,47 @@
+/// \file
+/// Defines the monotonic time types that all decision logic uses.
+///
+/// Decision logic never reads a clock: every call takes `now`. Only the tasks
+/// that own sockets call Now(). Wall-clock time appears in logs alone, because
+/// it may step backwards.
+
+#ifndef CHERVILMUX_KERNEL_TIME_H_
+#define CHERVILMUX_KERNEL_TIME_H_
+
+#include <chrono>
+#include <cstdint>
+
+namespace chervilmux::kernel {
+
+using Duration = std::chrono::microseconds;
+using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// An instant before every other one; stands for "never happened".
+inline constexpr Instant kNever = Instant::min();
+
+/// Reads this process's monotonic clock.
+inline Instant Now() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+/// Whole milliseconds in `duration`, rounded down.
+inline std::int64_t ToMs(Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+/// Microseconds since the clock's own epoch, for messages.
+inline std::int64_t ToWire(Instant instant) {
+  return instant.time_since_epoch().count();
+}
+
+/// The inverse of ToWire().
+inline Instant FromWire(std::int64_t micros) {
+  return Instant(Duration(micros));
+}
+
+}  // namespace chervilmux::kernel
+
+#endif  // CHERVILMUX_KERNEL_TIME_H_
--- /dev/null
+++ b/src/membership/peer_table.cc
@@ -0,0 +1,167 @@
+#include "membership/peer_table.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "ownership/placement.h"
+
+namespace chervilmux::membership {
+
+using kernel::Instant;
+using ownership::InstanceId;
+
+PeerTable::PeerTable(InstanceId self, std::string failure_domain,
+                     kernel::Duration suspect_after)
+    : self(std::move(self)),
+      failure_domain(std::move(failure_domain)),
+      suspect_after(suspect_after) {}
+
+void PeerTable::OnHeartbeat(const Heartbeat& heartbeat, Instant now) {
+  if (heartbeat.from.name == this->self.name) return;
+  Peer& peer = this->peers[heartbeat.from.name];
+  // A message of an earlier life may arrive late.
+  if (heartbeat.from.incarnation < peer.id.incarnation) return;
+  peer.id = heartbeat.from;
+  peer.failure_domain = heartbeat.failure_domain;
+  peer.peer_address = heartbeat.peer_address;
+  peer.operator_address = heartbeat.operator_address;
+  peer.manifest_revision = heartbeat.manifest_revision;
+  peer.heard_at = now;
+  if (heartbeat.stopping) peer.leaving = true;
+  for (const auto& led : heartbeat.leads) {
+    CellLeader& leader = this->leaders[led.cell];
+    if (led.term < leader.term) continue;
+    leader = {heartbeat.from, heartbeat.peer_address, led.term, now};
+  }
+}
+
+void PeerTable::MarkGone(const std::string& name, std::uint64_t incarnation,
+                         Instant now) {
+  ownership::ListedGone& entry = this->gone[name];
+  const bool known = entry.name == name && entry.incarnation >= incarnation;
+  if (known) return;
+  entry = {name, incarnation, now};
+}
+
+void PeerTable::OnListed(const platform::ListedInstance& listed, Instant now) {
+  if (listed.name == this->self.name) {
+    this->self_leaving = listed.state == platform::ListedState::kLeaving;
+    return;
+  }
+  if (listed.state == platform::ListedState::kGone) {
+    this->MarkGone(listed.name, listed.incarnation, now);
+    return;
+  }
+  // A newer life on the list means that the platform ended the earlier ones.
+  if (listed.incarnation > 0) {
+    this->MarkGone(listed.name, listed.incarnation - 1, now);
+  }
+  Peer& peer = this->peers[listed.name];
+  peer.listed = true;
+  if (listed.incarnation < peer.id.incarnation) return;
+  if (listed.incarnation > peer.id.incarnation) peer = Peer();
+  peer.listed = true;
+  peer.id = {listed.name, listed.incarnation};
+  peer.failure_domain = listed.failure_domain;
+  peer.peer_address = listed.peer_address;
+  peer.operator_address = listed.operator_address;
+  if (listed.state == platform::ListedState::kLeaving) peer.leaving = true;
+}
+
+void PeerTable::OnList(const platform::InstanceList& list, Instant now) {
+  if (!list.usable) return;
+  std::set<std::string_view> present;
+  for (const auto& listed : list.instances) {
+    present.insert(listed.name);
+    this->OnListed(listed, now);
+  }
+  for (auto& [name, peer] : this->peers) {
+    if (present.contains(name)) continue;
+    if (peer.listed) this->MarkGone(name, peer.id.incarnation, now);
+    peer.listed = false;
+  }
+}
+
+bool PeerTable::Live(const Peer& peer, Instant now) const {
+  return now < peer.heard_at + this->suspect_after;
+}
+
+ownership::Neighbourhood PeerTable::NeighbourhoodOf(std::string_view cell,
+                                                    Instant now) const {
+  ownership::Neighbourhood result;
+  std::vector<std::pair<std::uint64_t, InstanceId>> ranked;
+  const auto rank = [&](const InstanceId& id) {
+    return ownership::HashKey(std::string(cell) + "/" + id.name);
+  };
+  if (!this->self_leaving) ranked.emplace_back(rank(this->self), this->self);
+  for (const auto& [name, peer] : this->peers) {
+    if (peer.leaving) {
+      result.leaving.push_back(peer.id);
+      continue;
+    }
+    if (peer.failure_domain != this->failure_domain) continue;
+    if (this->Live(peer, now)) ranked.emplace_back(rank(peer.id), peer.id);
+  }
+  std::ranges::sort(ranked);
+  for (auto& [score, id] : ranked) result.candidates.push_back(std::move(id));
+  for (const auto& [name, entry] : this->gone) result.gone.push_back(entry);
+  return result;
+}
+
+std::optional<CellLeader> PeerTable::LeaderOf(std::string_view cell,
+                                              Instant now) const {
+  const auto found = this->leaders.find(cell);
+  if (found == this->leaders.end()) return std::nullopt;
+  if (now >= found->second.heard_at + this->suspect_after) return std::nullopt;
+  return found->second;
+}
+
+void PeerTable::ForgetLeader(std::string_view cell, const InstanceId& id) {
+  const auto found = this->leaders.find(cell);
+  if (found == this->leaders.end() || found->second.id != id) return;
+  this->leaders.erase(found);
+}
+
+bool PeerTable::IsStoreReader(std::size_t readers, Instant now) const {
+  std::size_t before = 0;
+  for (const auto& [name, peer] : this->peers) {
+    if (peer.failure_domain != this->failure_domain || peer.leaving) continue;
+    if (this->Live(peer, now) && name < this->self.name) before += 1;
+  }
+  return before < readers;
+}
+
+std::vector<net::Address> PeerTable::HeartbeatTargets(std::size_t count) {
+  std::vector<net::Address> all;
+  for (const auto& [name, peer] : this->peers) {
+    if (!peer.peer_address.Empty()) all.push_back(peer.peer_address);
+  }
+  if (all.size() <= count) return all;
+  std::vector<net::Address> targets;
+  for (std::size_t i = 0; i < count; ++i) {
+    targets.push_back(all[(this->next_target + i) % all.size()]);
+  }
+  this->next_target = (this->next_target + count) % all.size();
+  return targets;
+}
+
+const Peer* PeerTable::PeerWithNewerManifest(std::uint64_t revision,
+                                             Instant now) const {
+  const Peer* best = nullptr;
+  for (const auto& [name, peer] : this->peers) {
+    if (peer.manifest_revision <= revision || !this->Live(peer, now)) continue;
+    if (best == nullptr || peer.manifest_revision > best->manifest_revision) {
+      best = &peer;
+    }
+  }
+  return best;
+}
+
+net::Address PeerTable::AddressOf(std::string_view name) const {
+  const auto found = this->peers.find(name);
+  return found == this->peers.end() ? net::Address{}
+                                    : found->second.peer_address;
+}
+
+}  // namespace chervilmux::membership
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,367 @@
+#include "net/http_client.h"
+
+#include <ace/Event_Handler.h>
+#include <ace/Reactor.h>
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace chervilmux::net {
+namespace {
+
+constexpr long kMaxIdleConnectionAgeS = 30;
+
+struct SlistFree {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+using Slist = std::unique_ptr<curl_slist, SlistFree>;
+
+/// One request in progress.
+struct Transfer {
+  TransferId id = 0;
+  CURL* easy = nullptr;
+  Slist header_list;
+  HttpRequest request;
+  std::size_t body_sent = 0;
+  TransferOptions options;
+  TransferDone done;
+  HttpAnswer answer;
+  int writes_begun = 0;
+  bool too_large = false;
+};
+
+std::size_t OnBody(char* data, std::size_t size, std::size_t count,
+                   void* user) {
+  auto& transfer = *static_cast<Transfer*>(user);
+  const std::size_t bytes = size * count;
+  if (transfer.answer.body.size() + bytes > transfer.options.max_answer_bytes) {
+    transfer.too_large = true;
+    return 0;
+  }
+  transfer.answer.body.append(data, bytes);
+  return bytes;
+}
+
+std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
+                     void* user) {
+  auto& transfer = *static_cast<Transfer*>(user);
+  const std::size_t bytes = size * count;
+  std::string_view line(data, bytes);
+  if (line.starts_with("HTTP/")) {
+    // A final answer may follow an interim one; only the last counts.
+    transfer.answer.headers.clear();
+    return bytes;
+  }
+  while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
+    line.remove_suffix(1);
+  }
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos) return bytes;
+  std::string_view value = line.substr(colon + 1);
+  while (!value.empty() && value.front() == ' ') value.remove_prefix(1);
+  transfer.answer.headers.push_back(
+      {std::string(line.substr(0, colon)), std::string(value)});
+  return bytes;
+}
+
+std::size_t OnRead(char* buffer, std::size_t size, std::size_t count,
+                   void* user) {
+  auto& transfer = *static_cast<Transfer*>(user);
+  const std::size_t left = transfer.request.body.size() - transfer.body_sent;
+  const std::size_t bytes = std::min(size * count, left);
+  transfer.request.body.copy(buffer, bytes, transfer.body_sent);
+  transfer.body_sent += bytes;
+  return bytes;
+}
+
+int OnSeek(void* user, curl_off_t offset, int origin) {
+  auto& transfer = *static_cast<Transfer*>(user);
+  if (!transfer.options.may_repeat || origin != SEEK_SET) {
+    return CURL_SEEKFUNC_FAIL;
+  }
+  transfer.body_sent = static_cast<std::size_t>(offset);
+  return CURL_SEEKFUNC_OK;
+}
+
+int OnBeforeRequest(void* user, char* /*primary_ip*/, char* /*local_ip*/,
+                    int /*primary_port*/, int /*local_port*/) {
+  auto& transfer = *static_cast<Transfer*>(user);
+  transfer.writes_begun += 1;
+  const bool repeats = transfer.writes_begun > 1;
+  return repeats && !transfer.options.may_repeat ? CURL_PREREQFUNC_ABORT
+                                                 : CURL_PREREQFUNC_OK;
+}
+
+TransferEnd EndOf(CURLcode code, const Transfer& transfer) {
+  if (code == CURLE_OK) return TransferEnd::kComplete;
+  if (transfer.too_large) return TransferEnd::kTooLarge;
+  if (transfer.writes_begun == 0) return TransferEnd::kNotSent;
+  if (code == CURLE_OPERATION_TIMEDOUT) return TransferEnd::kTimedOut;
+  if (code == CURLE_PARTIAL_FILE || !transfer.answer.headers.empty()) {
+    return TransferEnd::kTruncated;
+  }
+  return TransferEnd::kBroken;
+}
+
+}  // namespace
+
+class HttpClient::Impl : public ACE_Event_Handler {
+ public:
+  Impl(kernel::ReactorTask& task, long max_connections)
+      : task(task), multi(curl_multi_init()) {
+    curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &Impl::OnSocket);
+    curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &Impl::OnTimer);
+    curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(this->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      max_connections);
+    curl_multi_setopt(this->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  }
+
+  ~Impl() override {
+    this->task.Reactor().cancel_timer(this);
+    for (auto& [id, transfer] : this->transfers) {
+      curl_multi_remove_handle(this->multi, transfer->easy);
+      curl_easy_cleanup(transfer->easy);
+    }
+    curl_multi_cleanup(this->multi);
+    for (CURL* easy : this->spare) curl_easy_cleanup(easy);
+  }
+
+  TransferId Start(const HttpRequest& request, const TransferOptions& options,
+                   TransferDone done) {
+    auto transfer = std::make_unique<Transfer>();
+    transfer->id = ++this->last_id;
+    transfer->request = request;
+    transfer->options = options;
+    transfer->done = std::move(done);
+    transfer->easy = this->TakeHandle();
+    this->Configure(*transfer);
+    curl_multi_add_handle(this->multi, transfer->easy);
+    const TransferId id = transfer->id;
+    this->transfers.emplace(id, std::move(transfer));
+    return id;
+  }
+
+  void Cancel(TransferId id) {
+    const auto found = this->transfers.find(id);
+    if (found == this->transfers.end()) return;
+    // Removing a busy handle closes its connection: a late answer cannot reach
+    // another request.
+    this->Finish(found->second->easy, TransferEnd::kCancelled);
+  }
+
+  int handle_timeout(const ACE_Time_Value& /*now*/,
+                     const void* /*act*/) override {
+    this->Drive(CURL_SOCKET_TIMEOUT, 0);
+    return 0;
+  }
+
+ private:
+  /// Watches one of libcurl's sockets.
+  class Watch : public ACE_Event_Handler {
+   public:
+    Watch(Impl& impl, curl_socket_t socket) : impl(impl), socket(socket) {}
+    ACE_HANDLE get_handle() const override { return this->socket; }
+    int handle_input(ACE_HANDLE /*handle*/) override {
+      this->impl.Drive(this->socket, CURL_CSELECT_IN);
+      return 0;
+    }
+    int handle_output(ACE_HANDLE /*handle*/) override {
+      this->impl.Drive(this->socket, CURL_CSELECT_OUT);
+      return 0;
+    }
+    ACE_Reactor_Mask mask = 0;
+
+   private:
+    Impl& impl;
+    curl_socket_t socket;
+  };
+
+  CURL* TakeHandle() {
+    if (this->spare.empty()) return curl_easy_init();
+    CURL* easy = this->spare.back();
+    this->spare.pop_back();
+    curl_easy_reset(easy);
+    return easy;
+  }
+
+  void Configure(Transfer& transfer) {
+    CURL* easy = transfer.easy;
+    const auto left = kernel::ToMs(transfer.options.deadline - kernel::Now());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+    curl_easy_setopt(easy, CURLOPT_URL, transfer.request.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleConnectionAgeS);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                     std::max<long>(1, static_cast<long>(left)));
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
+                     transfer.options.fresh_connection ? 1L : 0L);
+    this->ConfigureBody(transfer);
+    this->ConfigureHeaders(transfer);
+  }
+
+  void ConfigureBody(Transfer& transfer) {
+    CURL* easy = transfer.easy;
+    const std::string& method = transfer.request.method;
+    const bool has_body = !transfer.request.body.empty() || method == "POST" ||
+                          method == "PUT" || method == "PATCH";
+    if (has_body) {
+      curl_easy_setopt(easy, CURLOPT_UPLOAD, 1L);
+      curl_easy_setopt(easy, CURLOPT_INFILESIZE_LARGE,
+                       static_cast<curl_off_t>(transfer.request.body.size()));
+      curl_easy_setopt(easy, CURLOPT_READFUNCTION, &OnRead);
+      curl_easy_setopt(easy, CURLOPT_READDATA, &transfer);
+      curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, &OnSeek);
+      curl_easy_setopt(easy, CURLOPT_SEEKDATA, &transfer);
+    }
+    if (method == "HEAD") curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method.c_str());
+  }
+
+  void ConfigureHeaders(Transfer& transfer) {
+    curl_slist* list = nullptr;
+    bool has_accept = false;
+    bool has_type = false;
+    for (const auto& header : transfer.request.headers) {
+      if (SameHeaderName(header.name, "content-length")) continue;
+      if (SameHeaderName(header.name, "host")) continue;
+      if (SameHeaderName(header.name, "expect")) continue;
+      has_accept |= SameHeaderName(header.name, "accept");
+      has_type |= SameHeaderName(header.name, "content-type");
+      // libcurl spells a header without a value with a semicolon.
+      const std::string line = header.value.empty()
+                                   ? header.name + ";"
+                                   : header.name + ": " + header.value;
+      list = curl_slist_append(list, line.c_str());
+    }
+    // Adds nothing that the request did not have.
+    list = curl_slist_append(list, "Expect:");
+    if (!has_accept) list = curl_slist_append(list, "Accept:");
+    if (!has_type) list = curl_slist_append(list, "Content-Type:");
+    transfer.header_list.reset(list);
+    curl_easy_setopt(transfer.easy, CURLOPT_HTTPHEADER, list);
+  }
+
+  static int OnSocket(CURL* /*easy*/, curl_socket_t socket, int what,
+                      void* user, void* /*socket_data*/) {
+    static_cast<Impl*>(user)->UpdateWatch(socket, what);
+    return 0;
+  }
+
+  void UpdateWatch(curl_socket_t socket, int what) {
+    auto& watch = this->watches[socket];
+    ACE_Reactor& reactor = this->task.Reactor();
+    if (watch && watch->mask != 0) {
+      reactor.remove_handler(watch.get(), ACE_Event_Handler::ALL_EVENTS_MASK |
+                                              ACE_Event_Handler::DONT_CALL);
+    }
+    if (what == CURL_POLL_REMOVE) {
+      // The watch may be on the stack of this very call.
+      this->retired.push_back(std::move(watch));
+      this->watches.erase(socket);
+      return;
+    }
+    if (!watch) watch = std::make_unique<Watch>(*this, socket);
+    watch->mask = 0;
+    if ((what & CURL_POLL_IN) != 0) {
+      watch->mask |= ACE_Event_Handler::READ_MASK;
+    }
+    if ((what & CURL_POLL_OUT) != 0) {
+      watch->mask |= ACE_Event_Handler::WRITE_MASK;
+    }
+    if (watch->mask != 0) reactor.register_handler(watch.get(), watch->mask);
+  }
+
+  static int OnTimer(CURLM* /*multi*/, long timeout_ms, void* user) {
+    auto* impl = static_cast<Impl*>(user);
+    ACE_Reactor& reactor = impl->task.Reactor();
+    reactor.cancel_timer(impl);
+    if (timeout_ms < 0) return 0;
+    ACE_Time_Value delay;
+    delay.msec(timeout_ms);
+    reactor.schedule_timer(impl, nullptr, delay);
+    return 0;
+  }
+
+  void Drive(curl_socket_t socket, int events) {
+    int running = 0;
+    curl_multi_socket_action(this->multi, socket, events, &running);
+    this->Collect();
+    if (this->depth == 0) this->retired.clear();
+  }
+
+  void Collect() {
+    this->depth += 1;
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
+      if (message->msg != CURLMSG_DONE) continue;
+      Transfer* transfer = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+      this->Finish(message->easy_handle,
+                   EndOf(message->data.result, *transfer));
+    }
+    this->depth -= 1;
+  }
+
+  void Finish(CURL* easy, TransferEnd end) {
+    Transfer* raw = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &raw);
+    const auto found = this->transfers.find(raw->id);
+    const std::unique_ptr<Transfer> transfer = std::move(found->second);
+    this->transfers.erase(found);
+    TransferResult result;
+    result.end = end;
+    result.possibly_sent = transfer->writes_begun > 0;
+    long status = 0;
+    long connects = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
+    result.reused_connection = connects == 0;
+    curl_multi_remove_handle(this->multi, easy);
+    this->spare.push_back(easy);
+    transfer->answer.status = static_cast<std::uint16_t>(status);
+    if (end == TransferEnd::kComplete) {
+      result.answer = std::move(transfer->answer);
+    }
+    transfer->done(std::move(result));
+  }
+
+  kernel::ReactorTask& task;
+  CURLM* multi;
+  TransferId last_id = 0;
+  int depth = 0;
+  std::map<TransferId, std::unique_ptr<Transfer>> transfers;
+  std::map<curl_socket_t, std::unique_ptr<Watch>> watches;
+  std::vector<std::unique_ptr<Watch>> retired;
+  std::vector<CURL*> spare;
+};
+
+HttpClient::HttpClient(kernel::ReactorTask& task,
+                       long max_connections_per_server)
+    : impl(std::make_unique<Impl>(task, max_connections_per_server)) {}
+
+HttpClient::~HttpClient() = default;
+
+TransferId HttpClient::Start(const HttpRequest& request,
+                             const TransferOptions& options,
+                             TransferDone done) {
+  return this->impl->Start(request, options, std::move(done));
+}
+
+void HttpClient::Cancel(TransferId id) { this->impl->Cancel(id); }
+
+}  // namespace chervilmux::net
--- /dev/null
+++ b/src/ownership/cell_machine.cc
@@ -0,0 +1,494 @@
+#include "ownership/cell_machine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chervilmux::ownership {
+namespace {
+
+using kernel::Instant;
+
+bool Contains(std::span<const InstanceId> list, const InstanceId& instance) {
+  return std::ranges::find(list, instance) != list.end();
+}
+
+void AddFormer(CellRow& row, const InstanceId& instance) {
+  if (instance.Empty() || Contains(row.formers, instance)) return;
+  row.formers.push_back(instance);
+}
+
+}  // namespace
+
+CellMachine::CellMachine(InstanceId self, const CellTiming& timing,
+                         SafetyRules rules)
+    : self(std::move(self)),
+      timing(timing),
+      rules(rules),
+      ledger(timing),
+      exclusions(timing),
+      store(this->self, timing, rules.resolve_unknown_writes) {}
+
+// --- Contact and rights ------------------------------------------------------
+
+void CellMachine::NoteContact(Instant proof) {
+  this->contact = std::max(this->contact, proof);
+}
+
+Instant CellMachine::RightUntil() const {
+  if (this->contact == kernel::kNever) return kernel::kNever;
+  return this->contact + this->timing.Shrink(this->timing.isolation_budget);
+}
+
+bool CellMachine::HasRight(Instant now) const {
+  return !this->rules.check_right || now < this->RightUntil();
+}
+
+Instant CellMachine::SendUntil(std::string_view server) const {
+  if (this->role != Role::kLeader) return kernel::kNever;
+  const GrantRecord* record = this->ledger.Find(server);
+  if (record == nullptr) return kernel::kNever;
+  if (record->live_token.term != this->Newest().version.term) {
+    return kernel::kNever;
+  }
+  if (record->live_serving < this->owners_since) return kernel::kNever;
+  if (!this->rules.check_right) return record->live_until;
+  return std::min(record->live_until, this->RightUntil());
+}
+
+Token CellMachine::TokenFor(std::string_view server) const {
+  const GrantRecord* record = this->ledger.Find(server);
+  return record == nullptr ? Token{} : record->live_token;
+}
+
+bool CellMachine::ChecksTokens(std::string_view server) const {
+  const GrantRecord* record = this->ledger.Find(server);
+  return record != nullptr && record->checks_tokens;
+}
+
+CellCounters CellMachine::Counters() const {
+  CellCounters all = this->counters;
+  all.excluded_by_promise = this->exclusions.Count().by_promise;
+  all.excluded_by_list = this->exclusions.Count().by_list;
+  all.excluded_by_budget = this->exclusions.Count().by_budget;
+  all.store_conflicts = this->store.Count().conflicts;
+  all.store_failures = this->store.Count().failures;
+  all.unknown_writes_resolved = this->store.Count().unknown_resolved;
+  all.regressions_refused = this->store.Count().regressions;
+  return all;
+}
+
+// --- Facts -------------------------------------------------------------------
+
+void CellMachine::OnNeighbourhood(Neighbourhood neighbourhood, Instant now) {
+  this->neighbourhood = std::move(neighbourhood);
+  this->exclusions.Update(this->neighbourhood, now);
+}
+
+void CellMachine::OnDesiredServers(std::span<const DesiredServer> servers) {
+  this->desired.assign(servers.begin(), servers.end());
+  std::ranges::sort(this->desired, {}, &DesiredServer::name);
+}
+
+void CellMachine::OnOverrides(
+    const std::map<std::uint64_t, std::string>& overrides) {
+  this->desired_overrides = overrides;
+}
+
+void CellMachine::OnMovingInFlight(std::string_view server, std::size_t count) {
+  this->moving_in_flight.insert_or_assign(std::string(server), count);
+}
+
+void CellMachine::BeginStop() { this->stopping = true; }
+
+void CellMachine::OnTick(Instant now, Actions& actions) {
+  switch (this->role) {
+    case Role::kLeader:
+      this->LeaderTick(now, actions);
+      break;
+    case Role::kStandby:
+      this->StandbyTick(now, actions);
+      break;
+    case Role::kNone:
+      this->OutsiderTick(now, actions);
+      break;
+  }
+}
+
+void CellMachine::OnPeer(const PeerMessage& message, Instant now,
+                         Actions& actions) {
+  Instant& newest = this->newest_sent_at[message.from];
+  newest = std::max(newest, message.sent_at);
+  const RowVersion mine = this->Newest().version;
+  if (message.kind == PeerMessage::Kind::kEcho) {
+    const bool of_my_term = message.version.term == mine.term;
+    if (this->role != Role::kLeader || !of_my_term) return;
+    this->exclusions.OnPromise(message.from, message.version, now);
+    if (message.from != this->Newest().standby) return;
+    this->heard_standby_at = now;
+    this->NoteContact(message.echo_of);
+    return;
+  }
+  if (!message.row || message.row->version < mine) {
+    // The sender is behind: tell it, if it is ours to tell.
+    if (this->role != Role::kLeader) return;
+    actions.emplace_back(SendPeer{
+        message.from,
+        this->MakeMessage(PeerMessage::Kind::kPing, message.from, now)});
+    return;
+  }
+  // The store may yet make this instance primary under a higher term; until
+  // that is settled it must promise nothing.
+  if (this->store.PairWriteOpen() || this->store.PairUncertain()) return;
+  const bool own_row = message.row->primary == this->self;
+  if (own_row && this->role == Role::kLeader) return;
+  this->AdoptRow(*message.row, message.serving, now);
+  if (this->role == Role::kLeader) {
+    // A hand-over: its sender stopped before it sent this.
+    this->exclusions.OnPromise(message.from, message.row->version, now);
+  }
+  if (this->role != Role::kNone) this->NoteContact(message.echo_of);
+  this->heard_primary_at = now;
+  actions.emplace_back(
+      SendPeer{message.from,
+               this->MakeMessage(PeerMessage::Kind::kEcho, message.from, now)});
+}
+
+void CellMachine::OnGrant(const GrantReply& reply, Instant now,
+                          Actions& /*actions*/) {
+  if (reply.accepted) {
+    this->counters.grants_accepted += 1;
+  } else {
+    this->counters.grants_refused += 1;
+  }
+  this->ledger.OnReply(reply, now);
+  if (this->role == Role::kLeader) this->FinishMove(now);
+}
+
+void CellMachine::OnStore(const StoreReply& reply, Instant now,
+                          Actions& actions) {
+  const bool was_down = this->store.Down();
+  const StoreFact fact = this->store.OnReply(reply, now);
+  if (was_down && !this->store.Down()) this->counters.reconciliations += 1;
+  switch (fact.kind) {
+    case StoreFact::Kind::kNothing:
+      break;
+    case StoreFact::Kind::kAbsent:
+      this->OnAbsent(now, actions);
+      break;
+    case StoreFact::Kind::kSeen:
+      this->OnSeen(fact.row, fact.proof, now, actions);
+      break;
+    case StoreFact::Kind::kWritten:
+      this->OnWritten(fact.row, fact.proof, now);
+      break;
+  }
+}
+
+// --- Roles -------------------------------------------------------------------
+
+void CellMachine::AdoptRow(const CellRow& row, std::optional<CellRow> served,
+                           Instant now) {
+  const bool led = this->role == Role::kLeader;
+  if (served) {
+    this->serving = *std::move(served);
+    this->next = row;
+  } else {
+    this->serving = row;
+    this->next.reset();
+  }
+  if (row.primary == this->self) {
+    if (!led) this->BecomeLeader(now);
+    return;
+  }
+  if (led) this->LeaveLeadership();
+  this->role = row.standby == this->self ? Role::kStandby : Role::kNone;
+}
+
+void CellMachine::BecomeLeader(Instant now) {
+  this->role = Role::kLeader;
+  this->leader_since = now;
+  this->inherited_move = this->next.has_value();
+  this->unknown_past = false;
+  this->owners_since = this->serving.version;
+  this->heard_standby_at = now;
+  this->last_ping = kernel::kNever;
+  this->exclusions.Clear();
+  const CellRow& row = this->Newest();
+  this->exclusions.Follow(row.standby, true);
+  for (const auto& former : row.formers) this->exclusions.Follow(former, false);
+  this->exclusions.Update(this->neighbourhood, now);
+}
+
+void CellMachine::LeaveLeadership() {
+  this->counters.step_downs += 1;
+  this->role = Role::kNone;
+}
+
+void CellMachine::LeadFromUnknown(const CellRow& row, Instant now) {
+  // Until all earlier grants have lapsed, no server owns anything.
+  this->serving = row;
+  for (auto& server : this->serving.servers) server.state = ServerState::kOut;
+  this->next = row;
+  this->BecomeLeader(now);
+  this->unknown_past = true;
+}
+
+void CellMachine::TakeOver(Instant now) {
+  CellRow row = this->Newest();
+  row.version.term += 1;
+  row.version.sequence += 1;
+  std::swap(row.primary, row.standby);
+  this->Propose(std::move(row));
+  this->BecomeLeader(now);
+  this->counters.takeovers += 1;
+}
+
+void CellMachine::HandOver(Instant now, Actions& actions) {
+  CellRow row = this->Newest();
+  const InstanceId heir = row.standby;
+  row.version.term += 1;
+  row.version.sequence += 1;
+  row.primary = heir;
+  row.standby = {};
+  AddFormer(row, this->self);
+  this->Propose(std::move(row));
+  this->LeaveLeadership();
+  this->counters.hand_overs += 1;
+  actions.emplace_back(
+      SendPeer{heir, this->MakeMessage(PeerMessage::Kind::kPing, heir, now)});
+}
+
+bool CellMachine::IsGone(const InstanceId& instance, Instant now) const {
+  return ListedGoneForLag(this->neighbourhood, instance, this->timing.list_lag,
+                          now);
+}
+
+bool CellMachine::IsLeaving(const InstanceId& instance) const {
+  return Contains(this->neighbourhood.leaving, instance);
+}
+
+InstanceId CellMachine::PickStandby(std::span<const InstanceId> avoid,
+                                    Instant now) const {
+  for (const auto& candidate : this->neighbourhood.candidates) {
+    if (candidate == this->self || Contains(avoid, candidate)) continue;
+    if (this->IsLeaving(candidate) || this->IsGone(candidate, now)) continue;
+    return candidate;
+  }
+  return {};
+}
+
+// --- Periodic duties ---------------------------------------------------------
+
+void CellMachine::LeaderTick(Instant now, Actions& actions) {
+  this->exclusions.Update(this->neighbourhood, now);
+  const bool heir_listens =
+      !this->Newest().standby.Empty() &&
+      now < this->heard_standby_at + this->timing.suspect_after;
+  const bool settled =
+      !this->store.PairWriteOpen() && !this->store.PairUncertain();
+  if (this->stopping && heir_listens && settled) {
+    this->HandOver(now, actions);
+    return;
+  }
+  if (!this->HasRight(now)) {
+    // Without a right nothing is granted or sent; only contact is sought.
+    this->PingOthers(now, actions);
+    this->SyncStore(now, actions);
+    return;
+  }
+  this->ProposeServers(now);
+  this->FinishMove(now);
+  this->PingOthers(now, actions);
+  this->RenewGrants(now, actions);
+  this->SyncStore(now, actions);
+}
+
+void CellMachine::StandbyTick(Instant now, Actions& actions) {
+  if (this->stopping) return;
+  if (now < this->heard_primary_at + this->timing.suspect_after) return;
+  if (!this->HasRight(now)) {
+    if (this->store.Idle(now) &&
+        now >= this->store.LastAttempt() + this->timing.store_period) {
+      this->store.Read(now, actions);
+    }
+    return;
+  }
+  this->TakeOver(now);
+  this->LeaderTick(now, actions);
+}
+
+void CellMachine::OutsiderTick(Instant now, Actions& actions) {
+  if (this->stopping) {
+    // The heir may have missed the hand-over.
+    const bool handed =
+        this->HasRow() && Contains(this->Newest().formers, this->self);
+    const bool due = now >= this->last_ping + this->timing.ping_period;
+    if (!handed || !due) return;
+    this->last_ping = now;
+    const InstanceId& heir = this->Newest().primary;
+    actions.emplace_back(
+        SendPeer{heir, this->MakeMessage(PeerMessage::Kind::kPing, heir, now)});
+    return;
+  }
+  if (!this->store.Idle(now)) return;
+  if (now < this->store.LastAttempt() + this->timing.orphan_read_period) return;
+  const bool heard = now < this->heard_primary_at + this->timing.suspect_after;
+  if (heard) return;
+  this->store.Read(now, actions);
+}
+
+PeerMessage CellMachine::MakeMessage(PeerMessage::Kind kind,
+                                     const InstanceId& to, Instant now) const {
+  PeerMessage message;
+  message.kind = kind;
+  message.from = this->self;
+  message.version = this->Newest().version;
+  message.serving_version = this->serving.version;
+  message.sent_at = now;
+  // A former must run out of contact; only the pair proves contact.
+  const CellRow& row = this->Newest();
+  if (to == row.primary || to == row.standby) {
+    const auto found = this->newest_sent_at.find(to);
+    if (found != this->newest_sent_at.end()) message.echo_of = found->second;
+  }
+  if (kind != PeerMessage::Kind::kPing) return message;
+  message.row = row;
+  if (this->next) message.serving = this->serving;
+  return message;
+}
+
+void CellMachine::PingOthers(Instant now, Actions& actions) {
+  if (now < this->last_ping + this->timing.ping_period) return;
+  this->last_ping = now;
+  const CellRow& row = this->Newest();
+  std::vector<InstanceId> receivers = row.formers;
+  if (!row.standby.Empty()) receivers.push_back(row.standby);
+  for (const auto& receiver : receivers) {
+    actions.emplace_back(SendPeer{
+        receiver, this->MakeMessage(PeerMessage::Kind::kPing, receiver, now)});
+  }
+}
+
+bool CellMachine::StandbyIsUseless(Instant now) const {
+  const InstanceId& standby = this->Newest().standby;
+  if (standby.Empty()) return true;
+  if (this->IsLeaving(standby) || this->IsGone(standby, now)) return true;
+  return now >= this->heard_standby_at + 2 * this->timing.suspect_after;
+}
+
+bool CellMachine::ReplaceStandby(Instant now, Actions& actions) {
+  const InstanceId old = this->Newest().standby;
+  const InstanceId chosen = this->PickStandby(std::span(&old, 1), now);
+  if (chosen.Empty()) return false;
+  // Effective only once stored: the old standby could otherwise take over
+  // under the same term as the new one.
+  CellRow row = this->Newest();
+  row.version.term += kClaimTermStride;
+  row.version.sequence += 1;
+  row.standby = chosen;
+  AddFormer(row, old);
+  this->store.Write(std::move(row), true, now, actions);
+  return true;
+}
+
+void CellMachine::SyncStore(Instant now, Actions& actions) {
+  if (!this->store.Idle(now)) return;
+  const bool due = now >= this->store.LastAttempt() + this->timing.store_period;
+  if (this->store.Down() && !due) return;
+  const bool useless = this->StandbyIsUseless(now);
+  if (useless && due && this->ReplaceStandby(now, actions)) return;
+  if (this->store.StoredVersion() != this->Newest().version ||
+      this->store.PairUncertain()) {
+    this->store.Write(this->Newest(), false, now, actions);
+    return;
+  }
+  // Without a standby that answers, the store is the only proof of contact.
+  if (useless && due) this->store.Read(now, actions);
+}
+
+// --- Store facts -------------------------------------------------------------
+
+void CellMachine::OnAbsent(Instant now, Actions& actions) {
+  if (this->HasRow() || this->stopping) return;
+  const auto& candidates = this->neighbourhood.candidates;
+  if (candidates.empty() || candidates.front() != this->self) return;
+  CellRow row;
+  row.version = {kClaimTermStride, 1};
+  row.primary = this->self;
+  row.standby = this->PickStandby({}, now);
+  for (const auto& server : this->desired) {
+    if (server.leaving) continue;
+    row.servers.push_back({server.name, ServerState::kIn, server.weight});
+  }
+  this->store.Write(std::move(row), true, now, actions);
+}
+
+void CellMachine::OnSeen(const CellRow& row, Instant proof, Instant now,
+                         Actions& actions) {
+  if (row.primary != this->self && row.standby != this->self) {
+    // A stored row without us ends our part, even if our own uncommitted
+    // take-over carries a higher term.
+    const bool known = this->HasRow() && row.version == this->Newest().version;
+    if (!known) this->AdoptRow(row, std::nullopt, now);
+    this->ClaimOrphan(row, now, actions);
+    return;
+  }
+  const bool newer = !this->HasRow() || row.version > this->Newest().version;
+  if (!newer) {
+    this->NoteContact(proof);
+    return;
+  }
+  if (row.primary == this->self) {
+    // A write of ours took effect after we had given it up.
+    this->LeadFromUnknown(row, now);
+    this->NoteContact(proof);
+    return;
+  }
+  // The counterpart leads. Its row and what it serves come with its pings; a
+  // row of the store alone does not tell which keys are still moving.
+  if (this->role == Role::kLeader) this->LeaveLeadership();
+  if (this->role == Role::kStandby) this->NoteContact(proof);
+}
+
+void CellMachine::ClaimOrphan(const CellRow& row, Instant now,
+                              Actions& actions) {
+  if (this->stopping || !this->IsGone(row.primary, now)) return;
+  if (!row.standby.Empty() && !this->IsGone(row.standby, now)) return;
+  const auto& candidates = this->neighbourhood.candidates;
+  if (candidates.empty() || candidates.front() != this->self) return;
+  CellRow claim = row;
+  claim.version.term += kClaimTermStride;
+  claim.version.sequence += 1;
+  AddFormer(claim, row.primary);
+  AddFormer(claim, row.standby);
+  claim.primary = this->self;
+  claim.standby = this->PickStandby(claim.formers, now);
+  this->store.Write(std::move(claim), true, now, actions);
+}
+
+void CellMachine::OnWritten(const CellRow& row, Instant proof, Instant now) {
+  if (row.primary != this->self) return;
+  this->NoteContact(proof);
+  if (this->HasRow() && row.version <= this->Newest().version) return;
+  // A change of the pair takes effect now that it is stored.
+  if (this->role == Role::kLeader) {
+    const InstanceId dropped = this->Newest().standby;
+    this->counters.standby_replacements += 1;
+    this->Propose(row);
+    this->heard_standby_at = now;
+    this->exclusions.Follow(row.standby, true);
+    this->exclusions.OnDropStored(dropped, now);
+    return;
+  }
+  if (this->HasRow()) {
+    this->counters.claims += 1;
+    this->LeadFromUnknown(row, now);
+    return;
+  }
+  this->counters.creations += 1;
+  this->serving = row;
+  this->next.reset();
+  this->BecomeLeader(now);
+}
+
+}  // namespace chervilmux::ownership
--- /dev/null
+++ b/src/ownership/control_task.cc
@@ -0,0 +1,616 @@
+#include "ownership/control_task.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "backend/server_protocol.h"
+#include "kernel/json.h"
+#include "observe/log.h"
+#include "routing/cell_id.h"
+
+namespace chervilmux::ownership {
+namespace {
+
+using kernel::Instant;
+
+constexpr kernel::Duration kTickPeriod = kernel::milliseconds(20);
+constexpr kernel::Duration kListPeriod = kernel::milliseconds(500);
+constexpr kernel::Duration kManifestPeriod = kernel::milliseconds(500);
+constexpr kernel::Duration kMetricsPeriod = kernel::seconds(1);
+constexpr kernel::Duration kHeartbeatPeriod = kernel::milliseconds(250);
+constexpr kernel::Duration kPeerSuspectAfter = kernel::seconds(1);
+constexpr kernel::Duration kGrantTimeout = kernel::milliseconds(300);
+constexpr kernel::Duration kPullTimeout = kernel::seconds(2);
+constexpr std::size_t kHeartbeatTargets = 16;
+constexpr std::size_t kStoreReadersPerDomain = 2;
+constexpr long kControlConnectionsPerServer = 2;
+constexpr std::size_t kMaxManifestBytes = 64U << 20U;
+
+std::string_view NameOf(CellMachine::Role role) {
+  switch (role) {
+    case CellMachine::Role::kLeader:
+      return "primary";
+    case CellMachine::Role::kStandby:
+      return "standby";
+    case CellMachine::Role::kNone:
+      return "none";
+  }
+  return "none";
+}
+
+StoreReply ToStoreReply(std::uint64_t request,
+                        const platform::TableReply& reply) {
+  using From = platform::TableReply::Status;
+  using To = StoreReply::Status;
+  StoreReply result;
+  result.request = request;
+  result.revision = reply.revision;
+  const bool has_row =
+      reply.status == From::kValue || reply.status == From::kConflict;
+  if (has_row && !reply.value.empty()) {
+    auto row = DecodeRow(reply.value);
+    if (!row) return result;
+    result.row = std::move(row).value();
+  }
+  switch (reply.status) {
+    case From::kValue:
+      result.status = To::kRow;
+      break;
+    case From::kAbsent:
+      result.status = To::kAbsent;
+      break;
+    case From::kWritten:
+      result.status = To::kWritten;
+      break;
+    case From::kConflict:
+      result.status = result.row ? To::kConflict : To::kAbsent;
+      break;
+    case From::kFailed:
+      break;
+  }
+  return result;
+}
+
+/// The body of a JSON-RPC call without parameters.
+std::string RpcBody(const char* method) {
+  Json::Value call(Json::objectValue);
+  call["jsonrpc"] = "2.0";
+  call["id"] = 1;
+  call["method"] = method;
+  return kernel::PrintJson(call);
+}
+
+}  // namespace
+
+ControlTask::ControlTask(const kernel::Registry& registry,
+                         ControlSettings settings)
+    : settings(std::move(settings)),
+      metrics(registry.Find<observe::Metrics>("metrics")),
+      http(*this, kControlConnectionsPerServer),
+      datagrams(*this,
+                [this](std::string_view bytes) { this->OnDatagram(bytes); }),
+      peers(this->settings.self, this->settings.failure_domain,
+            kPeerSuspectAfter) {}
+
+ControlTask::~ControlTask() { this->Stop(); }
+
+kernel::Result<void> ControlTask::Open() {
+  BOOST_OUTCOME_TRYV(this->datagrams.Open(this->settings.peer_address));
+  this->Every(kTickPeriod, [this] { this->Tick(); });
+  this->Every(kListPeriod, [this] { this->ReadListSoon(); });
+  this->Every(kManifestPeriod, [this] { this->ReadManifestSoon(); });
+  this->Every(kMetricsPeriod, [this] { this->PublishMetrics(); });
+  this->Post([this] {
+    this->ReadListSoon();
+    this->ReadManifestSoon();
+  });
+  return kernel::Ok();
+}
+
+// --- Messages ----------------------------------------------------------------
+
+void ControlTask::NoteMoving(std::string cell, RowVersion version,
+                             std::string server, std::size_t count) {
+  this->Post([this, cell = std::move(cell), version, server = std::move(server),
+              count] {
+    const auto found = this->cells.find(cell);
+    if (found == this->cells.end()) return;
+    CellMachine& machine = found->second.machine;
+    if (machine.Newest().version != version) return;
+    machine.OnMovingInFlight(server, count);
+  });
+}
+
+void ControlTask::AskStatus(std::function<void(ControlStatus)> done) {
+  this->Post([this, done = std::move(done)] {
+    ControlStatus status;
+    status.manifest_revision = this->manifest.Revision();
+    for (const auto& [name, cell] : this->cells) {
+      const CellMachine& machine = cell.machine;
+      status.cells.push_back({name, std::string(NameOf(machine.CurrentRole())),
+                              machine.Newest(), machine.Serving().version,
+                              machine.Moving()});
+    }
+    for (const auto& [name, peer] : this->peers.Peers()) {
+      status.peers.push_back(peer);
+    }
+    done(std::move(status));
+  });
+}
+
+void ControlTask::AskManifest(std::function<void(std::string)> done) {
+  this->Post([this, done = std::move(done)] {
+    const auto current = this->manifest.Current();
+    done(current ? current->manifest.text : std::string());
+  });
+}
+
+void ControlTask::BeginStop(Instant give_up_at, std::function<void()> done) {
+  this->Post([this, give_up_at, done = std::move(done)]() mutable {
+    this->stopping = true;
+    this->heartbeat_now = true;
+    this->stop_give_up_at = give_up_at;
+    this->stop_done = std::move(done);
+    for (auto& [name, cell] : this->cells) cell.machine.BeginStop();
+  });
+}
+
+// --- Periodic work -----------------------------------------------------------
+
+void ControlTask::Tick() {
+  const Instant now = kernel::Now();
+  for (auto& [name, cell] : this->cells) {
+    cell.machine.OnNeighbourhood(this->peers.NeighbourhoodOf(name, now), now);
+    Actions actions;
+    cell.machine.OnTick(now, actions);
+    this->Perform(name, cell, actions);
+  }
+  this->SendHeartbeats();
+  this->PullManifest();
+  this->PublishView();
+  this->ConsiderStop(now);
+}
+
+void ControlTask::ConsiderStop(Instant now) {
+  if (!this->stopping || !this->stop_done) return;
+  const bool leads = std::ranges::any_of(this->cells, [](const auto& entry) {
+    return entry.second.machine.CurrentRole() == CellMachine::Role::kLeader;
+  });
+  if (leads && now < this->stop_give_up_at) return;
+  const auto done = std::exchange(this->stop_done, nullptr);
+  done();
+}
+
+void ControlTask::ReadListSoon() {
+  if (this->list_read_open) return;
+  this->list_read_open = true;
+  this->platform->ReadList([this](const platform::InstanceList& list) {
+    this->list_read_open = false;
+    if (!list.usable) {
+      this->metrics.Count("chervilmux_list_failures_total").Add();
+      return;
+    }
+    this->peers.OnList(list, kernel::Now());
+    this->listed_servers.clear();
+    for (const auto& server : list.servers) {
+      this->listed_servers[server.name] = server.state;
+    }
+    for (auto& [name, cell] : this->cells) this->UpdateDesired(name, cell);
+  });
+}
+
+void ControlTask::ReadManifestSoon() {
+  if (this->manifest_read_open) return;
+  // Few read the store; the others hear of revisions by heartbeat.
+  if (!this->peers.IsStoreReader(kStoreReadersPerDomain, kernel::Now())) return;
+  this->manifest_read_open = true;
+  this->platform->ReadRow(
+      platform::kManifestRow, [this](const platform::TableReply& reply) {
+        const bool news =
+            reply.status == platform::TableReply::Status::kValue &&
+            reply.revision != this->offered_row_revision;
+        if (!news) {
+          this->manifest_read_open = false;
+          return;
+        }
+        const std::uint64_t revision = reply.revision;
+        this->platform->ReadObject(
+            reply.value, [this, revision](const platform::ObjectReply& object) {
+              this->manifest_read_open = false;
+              if (!object.found) return;
+              this->offered_row_revision = revision;
+              this->OfferManifest(object.content, "store");
+            });
+      });
+}
+
+// --- Peers -------------------------------------------------------------------
+
+membership::Heartbeat ControlTask::MakeHeartbeat() {
+  membership::Heartbeat heartbeat;
+  heartbeat.from = this->settings.self;
+  heartbeat.failure_domain = this->settings.failure_domain;
+  heartbeat.peer_address = this->settings.peer_address;
+  heartbeat.operator_address = this->settings.operator_address;
+  heartbeat.manifest_revision = this->manifest.Revision();
+  heartbeat.stopping = this->stopping;
+  for (const auto& [name, cell] : this->cells) {
+    if (cell.machine.CurrentRole() != CellMachine::Role::kLeader) continue;
+    heartbeat.leads.push_back({name, cell.machine.Newest().version.term});
+  }
+  return heartbeat;
+}
+
+void ControlTask::SendHeartbeats() {
+  const Instant now = kernel::Now();
+  const bool due = now >= this->last_heartbeat + kHeartbeatPeriod;
+  if (!due && !this->heartbeat_now) return;
+  this->heartbeat_now = false;
+  this->last_heartbeat = now;
+  const std::string bytes = membership::Encode(this->MakeHeartbeat());
+  auto targets = this->peers.HeartbeatTargets(kHeartbeatTargets);
+  for (const auto& seed : this->settings.seeds) {
+    if (std::ranges::find(targets, seed) == targets.end()) {
+      targets.push_back(seed);
+    }
+  }
+  for (const auto& target : targets) {
+    this->datagrams.Send(target, bytes);
+    this->bytes_sent += bytes.size();
+  }
+}
+
+void ControlTask::OnDatagram(std::string_view bytes) {
+  const Instant now = kernel::Now();
+  auto decoded = membership::Decode(bytes);
+  if (!decoded) {
+    this->metrics.CountError("chervilmux_messages_refused_total",
+                             decoded.error().kind);
+    return;
+  }
+  if (const auto* beat = std::get_if<membership::Heartbeat>(&decoded.value())) {
+    this->peers.OnHeartbeat(*beat, now);
+    return;
+  }
+  const auto& datagram = std::get<membership::CellDatagram>(decoded.value());
+  const auto found = this->cells.find(datagram.cell);
+  if (found == this->cells.end()) return;
+  Actions actions;
+  found->second.machine.OnPeer(datagram.message, now, actions);
+  this->Perform(found->first, found->second, actions);
+}
+
+void ControlTask::PullManifest() {
+  if (this->pull_open) return;
+  const membership::Peer* peer = this->peers.PeerWithNewerManifest(
+      this->manifest.Revision(), kernel::Now());
+  if (peer == nullptr || peer->operator_address.Empty()) return;
+  this->pull_open = true;
+  net::HttpRequest request;
+  request.method = "POST";
+  request.url = "http://" + peer->operator_address.ToString() + "/rpc";
+  request.headers = {{"Content-Type", "application/json"}};
+  request.body = RpcBody("manifest");
+  net::TransferOptions options;
+  options.deadline = kernel::Now() + kPullTimeout;
+  options.max_answer_bytes = kMaxManifestBytes;
+  options.may_repeat = true;
+  this->http.Start(request, options, [this](const net::TransferResult& result) {
+    this->pull_open = false;
+    if (result.end != net::TransferEnd::kComplete) return;
+    auto body = kernel::ParseJson(result.answer.body);
+    if (!body || !body.value().isObject()) return;
+    const std::string text = kernel::StringOr(body.value(), "result");
+    if (!text.empty()) this->OfferManifest(text, "peer");
+  });
+}
+
+// --- Manifest ----------------------------------------------------------------
+
+void ControlTask::OfferManifest(std::string_view text,
+                                std::string_view source) {
+  const config::OfferResult result = this->manifest.Offer(text);
+  const std::string revision = std::to_string(this->manifest.Revision());
+  switch (result) {
+    case config::OfferResult::kAdopted:
+      observe::LogInfo("manifest_adopted", {{"revision", revision},
+                                            {"source", std::string(source)}});
+      this->heartbeat_now = true;
+      this->FollowManifest();
+      break;
+    case config::OfferResult::kAlreadyKnown:
+      break;
+    case config::OfferResult::kRegressed:
+      this->metrics.CountError("chervilmux_manifests_refused_total",
+                               kernel::ErrorKind::kStoreRegressed);
+      observe::LogWarn("manifest_refused",
+                       {{"in_force", revision},
+                        {"source", std::string(source)},
+                        {"why", this->manifest.LastRefusal()}});
+      break;
+    case config::OfferResult::kInvalid:
+      this->metrics.CountError("chervilmux_manifests_refused_total",
+                               kernel::ErrorKind::kManifestInvalid);
+      observe::LogError("manifest_refused",
+                        {{"in_force", revision},
+                         {"source", std::string(source)},
+                         {"why", this->manifest.LastRefusal()}});
+      break;
+  }
+}
+
+void ControlTask::FollowManifest() {
+  const auto current = this->manifest.Current();
+  for (const auto& service : current->manifest.services) {
+    const bool here = std::ranges::find(service.failure_domains,
+                                        this->settings.failure_domain) !=
+                      service.failure_domains.end();
+    if (!here) continue;
+    const std::string name =
+        routing::CellName(service.name, this->settings.failure_domain);
+    if (!this->cells.contains(name)) {
+      CellTiming timing = this->settings.timing;
+      timing.isolation_budget = service.isolation_budget;
+      timing.max_request = service.max_timeout;
+      auto& cell = this->cells.try_emplace(name, this->settings.self, timing)
+                       .first->second;
+      cell.service = service.name;
+      if (this->stopping) cell.machine.BeginStop();
+    }
+  }
+  for (auto& [name, cell] : this->cells) this->UpdateDesired(name, cell);
+}
+
+void ControlTask::UpdateDesired(const std::string& name, Cell& cell) {
+  const auto current = this->manifest.Current();
+  const config::Service* service = current->manifest.Find(cell.service);
+  std::vector<DesiredServer> desired;
+  std::map<std::uint64_t, std::string> overrides;
+  if (service != nullptr) {
+    for (const auto& server : service->servers) {
+      if (server.failure_domain != this->settings.failure_domain) continue;
+      const auto listed = this->listed_servers.find(server.name);
+      const bool leaving = listed != this->listed_servers.end() &&
+                           listed->second != platform::ListedState::kLive;
+      desired.push_back({server.name, server.weight, leaving});
+    }
+    for (const auto& [key, server] : service->pinned_keys) {
+      const std::uint64_t hash = HashKey(key);
+      if (routing::CellOf(hash, *service) == name) overrides[hash] = server;
+    }
+  }
+  cell.machine.OnDesiredServers(desired);
+  cell.machine.OnOverrides(overrides);
+}
+
+const config::BackendServer* ControlTask::ServerOf(
+    const std::string& service, std::string_view server) const {
+  const auto current = this->manifest.Current();
+  const config::Service* entry =
+      current ? current->manifest.Find(service) : nullptr;
+  if (entry == nullptr) return nullptr;
+  const auto found =
+      std::ranges::find(entry->servers, server, &config::BackendServer::name);
+  return found == entry->servers.end() ? nullptr : &*found;
+}
+
+// --- Cells -------------------------------------------------------------------
+
+void ControlTask::Perform(const std::string& name, Cell& cell,
+                          const Actions& actions) {
+  for (const auto& action : actions) {
+    std::visit([&](const auto& one) { this->Do(name, one); }, action);
+  }
+  this->NoteRole(name, cell);
+}
+
+void ControlTask::NoteRole(const std::string& name, Cell& cell) {
+  const CellMachine::Role role = cell.machine.CurrentRole();
+  if (role == cell.last_role) return;
+  cell.last_role = role;
+  this->heartbeat_now = true;
+  observe::LogInfo(
+      "cell_role",
+      {{"cell", name},
+       {"role", std::string(NameOf(role))},
+       {"term", std::to_string(cell.machine.Newest().version.term)}});
+}
+
+void ControlTask::Do(const std::string& name, const ReadRow& action) {
+  const std::uint64_t request = action.request;
+  this->platform->ReadRow(
+      platform::CellRowKey(name),
+      [this, name, request](const platform::TableReply& reply) {
+        this->OnTableReply(name, request, reply);
+      });
+}
+
+void ControlTask::Do(const std::string& name, const WriteRow& action) {
+  const std::uint64_t request = action.request;
+  this->platform->WriteRow(
+      platform::CellRowKey(name), EncodeRow(action.row),
+      action.expected_revision,
+      [this, name, request](const platform::TableReply& reply) {
+        this->OnTableReply(name, request, reply);
+      });
+}
+
+void ControlTask::OnTableReply(const std::string& name, std::uint64_t request,
+                               const platform::TableReply& reply) {
+  const auto found = this->cells.find(name);
+  if (found == this->cells.end()) return;
+  Actions actions;
+  found->second.machine.OnStore(ToStoreReply(request, reply), kernel::Now(),
+                                actions);
+  this->Perform(name, found->second, actions);
+}
+
+void ControlTask::Do(const std::string& name, const SendPeer& action) {
+  const net::Address to = this->peers.AddressOf(action.to.name);
+  if (to.Empty()) return;
+  membership::CellDatagram datagram;
+  datagram.cell = name;
+  datagram.reply_to = this->settings.peer_address;
+  datagram.message = action.message;
+  const std::string bytes = membership::Encode(datagram);
+  this->datagrams.Send(to, bytes);
+  this->bytes_sent += bytes.size();
+}
+
+void ControlTask::Do(const std::string& name, const SendGrant& action) {
+  const auto cell = this->cells.find(name);
+  const config::BackendServer* server =
+      this->ServerOf(cell->second.service, action.server);
+  if (server == nullptr) return;
+  const Instant ordered_at = kernel::Now();
+  net::TransferOptions options;
+  options.deadline = ordered_at + kGrantTimeout;
+  options.may_repeat = true;
+  const net::HttpRequest request =
+      backend::BuildGrant(server->address, name, action.order);
+  this->bytes_sent += request.body.size();
+  this->http.Start(
+      request, options,
+      [this, name, server_name = action.server, order = action.order,
+       ordered_at](const net::TransferResult& result) {
+        this->OnGrantResult(name, server_name, order, ordered_at, result);
+      });
+}
+
+void ControlTask::OnGrantResult(const std::string& name,
+                                const std::string& server,
+                                const GrantOrder& order, Instant ordered_at,
+                                const net::TransferResult& result) {
+  const auto found = this->cells.find(name);
+  if (found == this->cells.end()) return;
+  const auto reply =
+      backend::ParseGrantReply(server, order, ordered_at, result);
+  if (!reply) {
+    this->metrics.Count("chervilmux_grants_unanswered_total").Add();
+    return;
+  }
+  Actions actions;
+  CellMachine& machine = found->second.machine;
+  const bool was_moving = machine.Moving();
+  machine.OnGrant(*reply, kernel::Now(), actions);
+  // Servers that gain keys are told at once.
+  if (was_moving && !machine.Moving()) machine.OnTick(kernel::Now(), actions);
+  this->Perform(name, found->second, actions);
+}
+
+// --- View and metrics --------------------------------------------------------
+
+routing::LedCellView ControlTask::ViewOf(Cell& cell) const {
+  const CellMachine& machine = cell.machine;
+  routing::LedCellView led;
+  led.version = machine.Newest().version;
+  led.serving_version = machine.Serving().version;
+  if (!cell.serving || cell.placed_serving != led.serving_version) {
+    cell.serving = std::make_shared<Placement>(machine.Serving());
+    cell.placed_serving = led.serving_version;
+  }
+  if (machine.Moving() && (!cell.next || cell.placed_next != led.version)) {
+    cell.next = std::make_shared<Placement>(machine.Newest());
+    cell.placed_next = led.version;
+  }
+  led.serving = cell.serving;
+  if (machine.Moving()) led.next = cell.next;
+  for (const auto& entry : machine.Newest().servers) {
+    const config::BackendServer* known =
+        this->ServerOf(cell.service, entry.name);
+    if (known == nullptr) continue;
+    routing::ServerView server;
+    server.address = known->address;
+    server.slots = known->slots;
+    server.send_until = machine.SendUntil(entry.name);
+    server.token = machine.TokenFor(entry.name);
+    server.in = entry.state == ServerState::kIn;
+    server.lost = entry.state == ServerState::kOut;
+    led.servers.emplace(entry.name, std::move(server));
+  }
+  return led;
+}
+
+void ControlTask::PublishView() {
+  if (!this->view_sink) return;
+  auto view = std::make_shared<routing::View>();
+  const Instant now = kernel::Now();
+  view->manifest = this->manifest.Current();
+  for (auto& [name, cell] : this->cells) {
+    if (cell.machine.CurrentRole() != CellMachine::Role::kLeader) continue;
+    view->led.emplace(name, this->ViewOf(cell));
+  }
+  if (view->manifest) {
+    for (const auto& service : view->manifest->manifest.services) {
+      for (const auto& domain : service.failure_domains) {
+        const std::string cell = routing::CellName(service.name, domain);
+        if (auto leader = this->peers.LeaderOf(cell, now)) {
+          view->leaders.emplace(cell, *std::move(leader));
+        }
+      }
+    }
+  }
+  this->view_sink(std::move(view));
+}
+
+void ControlTask::PublishMetrics() {
+  CellCounters sum;
+  const auto add = [&](const CellCounters& one) {
+    sum.takeovers += one.takeovers;
+    sum.claims += one.claims;
+    sum.creations += one.creations;
+    sum.step_downs += one.step_downs;
+    sum.hand_overs += one.hand_overs;
+    sum.owner_changes += one.owner_changes;
+    sum.changes_without_store += one.changes_without_store;
+    sum.excluded_by_promise += one.excluded_by_promise;
+    sum.excluded_by_list += one.excluded_by_list;
+    sum.excluded_by_budget += one.excluded_by_budget;
+    sum.standby_replacements += one.standby_replacements;
+    sum.servers_lost += one.servers_lost;
+    sum.servers_joined += one.servers_joined;
+    sum.grants_accepted += one.grants_accepted;
+    sum.grants_refused += one.grants_refused;
+    sum.store_conflicts += one.store_conflicts;
+    sum.store_failures += one.store_failures;
+    sum.unknown_writes_resolved += one.unknown_writes_resolved;
+    sum.reconciliations += one.reconciliations;
+    sum.regressions_refused += one.regressions_refused;
+  };
+  std::uint64_t led = 0;
+  for (const auto& [name, cell] : this->cells) {
+    add(cell.machine.Counters());
+    if (cell.machine.CurrentRole() == CellMachine::Role::kLeader) led += 1;
+  }
+  const std::pair<const char*, std::uint64_t> gauges[] = {
+      {"chervilmux_manifest_revision", this->manifest.Revision()},
+      {"chervilmux_cells_led", led},
+      {"chervilmux_control_bytes_sent_total", this->bytes_sent},
+      {"chervilmux_takeovers_total", sum.takeovers},
+      {"chervilmux_claims_total", sum.claims},
+      {"chervilmux_creations_total", sum.creations},
+      {"chervilmux_step_downs_total", sum.step_downs},
+      {"chervilmux_hand_overs_total", sum.hand_overs},
+      {"chervilmux_owner_changes_total", sum.owner_changes},
+      {"chervilmux_owner_changes_without_store_total",
+       sum.changes_without_store},
+      {"chervilmux_excluded_by_promise_total", sum.excluded_by_promise},
+      {"chervilmux_excluded_by_list_total", sum.excluded_by_list},
+      {"chervilmux_excluded_by_budget_total", sum.excluded_by_budget},
+      {"chervilmux_standby_replacements_total", sum.standby_replacements},
+      {"chervilmux_servers_lost_total", sum.servers_lost},
+      {"chervilmux_servers_joined_total", sum.servers_joined},
+      {"chervilmux_grants_accepted_total", sum.grants_accepted},
+      {"chervilmux_grants_refused_total", sum.grants_refused},
+      {"chervilmux_store_conflicts_total", sum.store_conflicts},
+      {"chervilmux_store_failures_total", sum.store_failures},
+      {"chervilmux_unknown_writes_resolved_total", sum.unknown_writes_resolved},
+      {"chervilmux_store_reconciliations_total", sum.reconciliations},
+      {"chervilmux_store_regressions_refused_total", sum.regressions_refused},
+  };
+  for (const auto& [name, value] : gauges) {
+    this->metrics.Count(name).SetTo(value);
+  }
+}
+
+}  // namespace chervilmux::ownership
--- /dev/null
+++ b/src/ownership/exclusion_book.cc
@@ -0,0 +1,89 @@
+#include "ownership/exclusion_book.h"
+
+#include <algorithm>
+
+namespace chervilmux::ownership {
+
+bool ListedGoneForLag(const Neighbourhood& neighbourhood,
+                      const InstanceId& instance, kernel::Duration lag,
+                      kernel::Instant now) {
+  return std::ranges::any_of(neighbourhood.gone, [&](const ListedGone& gone) {
+    return gone.name == instance.name &&
+           gone.incarnation >= instance.incarnation && now >= gone.since + lag;
+  });
+}
+
+void ExclusionBook::Follow(const InstanceId& instance,
+                           bool counterpart_is_self) {
+  if (instance.Empty()) return;
+  Other other;
+  other.counterpart_is_self = counterpart_is_self;
+  this->others.insert_or_assign(instance, other);
+}
+
+void ExclusionBook::OnPromise(const InstanceId& instance, RowVersion version,
+                              kernel::Instant now) {
+  Other& other = this->others[instance];
+  if (version <= other.promised) return;
+  if (other.cleared_at == kernel::kNever) {
+    other.cleared_at = now;
+    this->counters.by_promise += 1;
+  }
+  other.promised = version;
+}
+
+void ExclusionBook::OnDropStored(const InstanceId& instance,
+                                 kernel::Instant now) {
+  const auto found = this->others.find(instance);
+  if (found == this->others.end()) return;
+  Other& other = found->second;
+  if (other.drop_stored_at == kernel::kNever) other.drop_stored_at = now;
+}
+
+void ExclusionBook::Exclude(Other& other, std::uint64_t& counter,
+                            kernel::Instant now) {
+  other.excluded = true;
+  if (other.cleared_at == kernel::kNever) other.cleared_at = now;
+  counter += 1;
+}
+
+void ExclusionBook::Update(const Neighbourhood& neighbourhood,
+                           kernel::Instant now) {
+  const kernel::Duration budget =
+      this->timing.Stretch(this->timing.isolation_budget);
+  for (auto& [instance, other] : this->others) {
+    if (other.excluded) continue;
+    if (ListedGoneForLag(neighbourhood, instance, this->timing.list_lag, now)) {
+      this->Exclude(other, this->counters.by_list, now);
+      continue;
+    }
+    if (!other.counterpart_is_self) continue;
+    if (other.drop_stored_at == kernel::kNever) continue;
+    if (now < other.drop_stored_at + budget) continue;
+    this->Exclude(other, this->counters.by_budget, now);
+  }
+}
+
+bool ExclusionBook::Cleared(const InstanceId& instance,
+                            RowVersion version) const {
+  const auto found = this->others.find(instance);
+  if (found == this->others.end()) return false;
+  return found->second.excluded || found->second.promised >= version;
+}
+
+bool ExclusionBook::Excluded(const InstanceId& instance) const {
+  const auto found = this->others.find(instance);
+  return found != this->others.end() && found->second.excluded;
+}
+
+bool ExclusionBook::GrantsLapsed(const InstanceId& instance,
+                                 kernel::Duration extra,
+                                 kernel::Instant now) const {
+  const auto found = this->others.find(instance);
+  if (found == this->others.end()) return false;
+  if (found->second.cleared_at == kernel::kNever) return false;
+  return now > found->second.cleared_at +
+                   this->timing.Stretch(this->timing.lease) + extra;
+}
+
+}  // namespace chervilmux::ownership
--- /dev/null
+++ b/src/ownership/row.cc
@@ -0,0 +1,123 @@
+#include "ownership/row.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "kernel/json.h"
+
+namespace chervilmux::ownership {
+namespace {
+
+using kernel::ErrorKind;
+using kernel::Fail;
+using kernel::Result;
+
+Json::Value ToJson(const InstanceId& id) {
+  Json::Value value(Json::objectValue);
+  value["name"] = id.name;
+  value["incarnation"] = Json::UInt64{id.incarnation};
+  return value;
+}
+
+InstanceId InstanceFromJson(const Json::Value& value) {
+  return {kernel::StringOr(value, "name"),
+          kernel::UintOr(value, "incarnation")};
+}
+
+Json::Value ToJson(const ServerEntry& server) {
+  Json::Value value(Json::objectValue);
+  value["name"] = server.name;
+  value["state"] = static_cast<unsigned>(server.state);
+  value["weight"] = server.weight;
+  return value;
+}
+
+Result<ServerEntry> ServerFromJson(const Json::Value& value) {
+  ServerEntry server;
+  server.name = kernel::StringOr(value, "name");
+  const std::uint64_t state = kernel::UintOr(value, "state", 99);
+  if (server.name.empty() || state > 2 || !value["weight"].isNumeric()) {
+    return Fail(ErrorKind::kMessageMalformed, "bad server in cell row");
+  }
+  server.state = static_cast<ServerState>(state);
+  server.weight = value["weight"].asDouble();
+  return server;
+}
+
+/// Servers that own keys, which is all that placement looks at.
+std::vector<std::pair<std::string_view, double>> OwningServers(
+    const CellRow& row) {
+  std::vector<std::pair<std::string_view, double>> owning;
+  for (const auto& server : row.servers) {
+    if (server.state != ServerState::kIn) continue;
+    owning.emplace_back(server.name, server.weight);
+  }
+  return owning;
+}
+
+}  // namespace
+
+const ServerEntry* CellRow::Find(std::string_view server) const {
+  const auto found = std::ranges::lower_bound(
+      this->servers, server, {},
+      [](const ServerEntry& entry) { return std::string_view(entry.name); });
+  if (found == this->servers.end() || found->name != server) return nullptr;
+  return &*found;
+}
+
+bool CellRow::SameOwners(const CellRow& other) const {
+  return this->overrides == other.overrides &&
+         OwningServers(*this) == OwningServers(other);
+}
+
+std::string EncodeRow(const CellRow& row) {
+  Json::Value value(Json::objectValue);
+  value["term"] = Json::UInt64{row.version.term};
+  value["sequence"] = Json::UInt64{row.version.sequence};
+  value["primary"] = ToJson(row.primary);
+  value["standby"] = ToJson(row.standby);
+  value["writer"] = row.writer;
+  value["formers"] = Json::Value(Json::arrayValue);
+  for (const auto& former : row.formers)
+    value["formers"].append(ToJson(former));
+  value["servers"] = Json::Value(Json::arrayValue);
+  for (const auto& server : row.servers)
+    value["servers"].append(ToJson(server));
+  value["overrides"] = Json::Value(Json::objectValue);
+  for (const auto& [hash, server] : row.overrides) {
+    value["overrides"][std::to_string(hash)] = server;
+  }
+  return kernel::PrintJson(value);
+}
+
+Result<CellRow> DecodeRow(std::string_view text) {
+  BOOST_OUTCOME_TRY(value, kernel::ParseJson(text));
+  if (!value.isObject() || !value["servers"].isArray()) {
+    return Fail(ErrorKind::kMessageMalformed, "cell row is not an object");
+  }
+  CellRow row;
+  row.version = {kernel::UintOr(value, "term"),
+                 kernel::UintOr(value, "sequence")};
+  row.primary = InstanceFromJson(value["primary"]);
+  row.standby = InstanceFromJson(value["standby"]);
+  row.writer = kernel::StringOr(value, "writer");
+  for (const auto& former : value["formers"]) {
+    row.formers.push_back(InstanceFromJson(former));
+  }
+  for (const auto& entry : value["servers"]) {
+    BOOST_OUTCOME_TRY(server, ServerFromJson(entry));
+    row.servers.push_back(std::move(server));
+  }
+  std::ranges::sort(row.servers, {}, &ServerEntry::name);
+  const auto& overrides = value["overrides"];
+  for (const auto& hash : overrides.getMemberNames()) {
+    if (hash.empty() || hash.size() > 20 ||
+        hash.find_first_not_of("0123456789") != std::string::npos) {
+      return Fail(ErrorKind::kMessageMalformed, "bad override in cell row");
+    }
+    row.overrides[std::stoull(hash)] = overrides[hash].asString();
+  }
+  return row;
+}
+
+}  // namespace chervilmux::ownership
--- /dev/null
+++ b/test/fakes/grant_keeper.h
@@ -0,0 +1,89 @@
+/// \file
+/// Defines the stand-in for a backend server's own handling of grants.
+///
+/// This is what the platform's servers are stated to do ("take fenced grants"):
+/// refuse lower tokens and act only while a grant is live by their own clock.
+
+#ifndef CHERVILMUX_TEST_FAKES_GRANT_KEEPER_H_
+#define CHERVILMUX_TEST_FAKES_GRANT_KEEPER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "ownership/cell_events.h"
+
+namespace chervilmux::fakes {
+
+/// Grants of one server, by cell.
+class GrantKeeper {
+ public:
+  GrantKeeper(std::uint64_t incarnation, bool checks_tokens)
+      : incarnation(incarnation), checks_tokens(checks_tokens) {}
+
+  /// Takes an order at the server's clock reading `clock_us`.
+  ownership::GrantReply Order(std::string_view cell,
+                              const ownership::GrantOrder& order,
+                              std::int64_t clock_us) {
+    Grant& grant = this->grants[std::string(cell)];
+    ownership::GrantReply reply;
+    reply.token = order.token;
+    reply.version = order.version;
+    reply.serving = order.serving;
+    reply.deadline_us = order.deadline_us;
+    reply.clock_us = clock_us;
+    reply.incarnation = this->incarnation;
+    reply.checks_tokens = this->checks_tokens;
+    const bool other_life =
+        order.deadline_us != 0 && order.incarnation != this->incarnation;
+    const bool outdated = this->checks_tokens && order.token < grant.highest;
+    reply.accepted = !other_life && !outdated;
+    if (reply.accepted) this->Take(grant, order, clock_us);
+    reply.highest = grant.highest;
+    return reply;
+  }
+
+  /// Whether a request with `token` may run now.
+  bool MayRun(std::string_view cell, ownership::Token token,
+              std::int64_t clock_us) const {
+    if (!this->checks_tokens) return true;
+    const auto found = this->grants.find(cell);
+    if (found == this->grants.end()) return false;
+    const Grant& grant = found->second;
+    return token.term == grant.highest.term && token >= grant.floor &&
+           clock_us < grant.deadline_us;
+  }
+
+  /// Deadline of the grant for `cell`; 0 when there is none.
+  std::int64_t DeadlineOf(std::string_view cell) const {
+    const auto found = this->grants.find(cell);
+    return found == this->grants.end() ? 0 : found->second.deadline_us;
+  }
+
+ private:
+  struct Grant {
+    ownership::Token highest;
+    ownership::Token floor;  ///< Requests under lower tokens are refused.
+    ownership::RowVersion version;
+    std::int64_t deadline_us = 0;
+  };
+
+  static void Take(Grant& grant, const ownership::GrantOrder& order,
+                   std::int64_t clock_us) {
+    // After a gap or a change of owners, what was sent before must not run.
+    const bool gap = grant.deadline_us <= clock_us;
+    if (gap || order.version != grant.version) grant.floor = order.token;
+    grant.highest = std::max(grant.highest, order.token);
+    grant.version = order.version;
+    grant.deadline_us = order.deadline_us;
+  }
+
+  std::uint64_t incarnation;
+  bool checks_tokens;
+  std::map<std::string, Grant, std::less<>> grants;
+};
+
+}  // namespace chervilmux::fakes
+
+#endif  // CHERVILMUX_TEST_FAKES_GRANT_KEEPER_H_
