--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	clang-format -i $(SOURCES)
 
 test: build
-	@cd $(BUILD) && ctest --output-on-failure
+	@cd $(BUILD) && ctest -j 4 --output-on-failure
 
 check: lint test
 	@tools/print_known_red
--- a/src/ownership/cell_machine.cc
+++ b/src/ownership/cell_machine.cc
@@ -17,6 +17,13 @@
   row.formers.push_back(instance);
 }
 
+/// An instance of the pair answers for itself: a primary knows its own grants,
+/// a standby is cleared by its echo.
+void DropPairFromFormers(CellRow& row) {
+  std::erase(row.formers, row.primary);
+  std::erase(row.formers, row.standby);
+}
+
 }  // namespace
 
 CellMachine::CellMachine(InstanceId self, const CellTiming& timing,
@@ -51,6 +58,7 @@
     return kernel::kNever;
   }
   if (record->live_serving < this->owners_since) return kernel::kNever;
+  if (record->live_version < this->told_since) return kernel::kNever;
   if (!this->rules.check_right) return record->live_until;
   return std::min(record->live_until, this->RightUntil());
 }
@@ -209,6 +217,8 @@
   this->leader_since = now;
   this->inherited_move = this->next.has_value();
   this->unknown_past = false;
+  this->next_told = false;
+  this->told_since = {};
   this->owners_since = this->serving.version;
   this->heard_standby_at = now;
   this->last_ping = kernel::kNever;
@@ -227,6 +237,7 @@
 void CellMachine::LeadFromUnknown(const CellRow& row, Instant now) {
   // Until all earlier grants have lapsed, no server owns anything.
   this->serving = row;
+  this->serving.version.sequence = 0;
   for (auto& server : this->serving.servers) server.state = ServerState::kOut;
   this->next = row;
   this->BecomeLeader(now);
@@ -379,7 +390,11 @@
 bool CellMachine::ReplaceStandby(Instant now, Actions& actions) {
   const InstanceId old = this->Newest().standby;
   const InstanceId chosen = this->PickStandby(std::span(&old, 1), now);
-  if (chosen.Empty()) return false;
+  // Without a successor it stays, in case it comes back; once excluded it never
+  // will.
+  if (chosen.Empty() && (old.Empty() || !this->exclusions.Excluded(old))) {
+    return false;
+  }
   // Effective only once stored: the old standby could otherwise take over
   // under the same term as the new one.
   CellRow row = this->Newest();
@@ -387,6 +402,7 @@
   row.version.sequence += 1;
   row.standby = chosen;
   AddFormer(row, old);
+  DropPairFromFormers(row);
   this->store.Write(std::move(row), true, now, actions);
   return true;
 }
@@ -448,21 +464,27 @@
   // row of the store alone does not tell which keys are still moving.
   if (this->role == Role::kLeader) this->LeaveLeadership();
   if (this->role == Role::kStandby) this->NoteContact(proof);
+  if (this->role == Role::kNone) this->ClaimOrphan(row, now, actions);
 }
 
 void CellMachine::ClaimOrphan(const CellRow& row, Instant now,
                               Actions& actions) {
   if (this->stopping || !this->IsGone(row.primary, now)) return;
-  if (!row.standby.Empty() && !this->IsGone(row.standby, now)) return;
+  const bool is_standby = row.standby == this->self;
+  const bool standby_remains =
+      !row.standby.Empty() && !is_standby && !this->IsGone(row.standby, now);
+  if (standby_remains) return;
   const auto& candidates = this->neighbourhood.candidates;
-  if (candidates.empty() || candidates.front() != this->self) return;
+  const bool chosen = !candidates.empty() && candidates.front() == this->self;
+  if (!is_standby && !chosen) return;
   CellRow claim = row;
   claim.version.term += kClaimTermStride;
   claim.version.sequence += 1;
   AddFormer(claim, row.primary);
-  AddFormer(claim, row.standby);
+  if (!is_standby) AddFormer(claim, row.standby);
   claim.primary = this->self;
   claim.standby = this->PickStandby(claim.formers, now);
+  DropPairFromFormers(claim);
   this->store.Write(std::move(claim), true, now, actions);
 }
 
--- a/src/ownership/cell_machine.h
+++ b/src/ownership/cell_machine.h
@@ -47,7 +47,7 @@
   std::uint64_t step_downs = 0;
   std::uint64_t hand_overs = 0;
   std::uint64_t owner_changes = 0;
-  std::uint64_t changes_without_store = 0;
+  std::uint64_t changes_ahead_of_store = 0;
   std::uint64_t excluded_by_promise = 0;
   std::uint64_t excluded_by_list = 0;
   std::uint64_t excluded_by_budget = 0;
@@ -179,7 +179,12 @@
   std::optional<CellRow> next;
   kernel::Instant contact = kernel::kNever;
   kernel::Instant leader_since = kernel::kNever;
-  RowVersion owners_since;      ///< Row of the latest change of owners.
+  RowVersion owners_since;  ///< Row of the latest change of owners.
+  /// Servers were told of `next`, so they no longer own the moving keys.
+  bool next_told = false;
+  /// A told change was replaced by this row: older grants do not cover keys
+  /// that the replacement leaves where they were.
+  RowVersion told_since;
   bool inherited_move = false;  ///< `next` was begun by another instance.
   bool unknown_past = false;    ///< Nothing is known of earlier grants.
   kernel::Instant heard_primary_at = kernel::kNever;
--- a/src/ownership/cell_moves.cc
+++ b/src/ownership/cell_moves.cc
@@ -11,9 +11,13 @@
 
 void CellMachine::Propose(CellRow row) {
   this->last_ping = kernel::kNever;  // The standby is told at once.
+  const bool replaces_told =
+      this->next && this->next_told && !row.SameOwners(*this->next);
+  if (replaces_told) this->told_since = row.version;
   if (row.SameOwners(this->serving)) {
     this->serving = std::move(row);
     this->next.reset();
+    this->next_told = false;
     return;
   }
   this->next = std::move(row);
@@ -22,7 +26,7 @@
 bool CellMachine::Answers(std::string_view server, Instant now) const {
   const GrantRecord* record = this->ledger.Find(server);
   return record != nullptr &&
-         now < std::max(record->last_ok, this->leader_since) +
+         now < std::max(record->last_reply, this->leader_since) +
                    this->timing.server_lost_after;
 }
 
@@ -51,6 +55,13 @@
     this->counters.servers_lost += 1;
     return ServerState::kOut;
   }
+  // A server that has not lost its keys yet keeps them as soon as it answers.
+  const ServerEntry* served = this->serving.Find(server.name);
+  const bool still_owns =
+      served != nullptr && served->state == ServerState::kIn;
+  if (still_owns && answers && now < record.last_ok + this->timing.lease) {
+    return ServerState::kIn;
+  }
   const bool steady = answers && record.last_ok != kernel::kNever &&
                       record.ok_since != kernel::kNever &&
                       now >= record.ok_since + this->timing.rejoin_after;
@@ -74,7 +85,8 @@
   if (!this->desired.empty()) row.servers = std::move(servers);
   row.overrides = this->desired_overrides;
   std::erase_if(row.formers, [&](const InstanceId& former) {
-    return this->exclusions.GrantsLapsed(former, this->timing.max_request, now);
+    return this->exclusions.GrantsLapsed(former, {row.version.term, 0},
+                                         this->timing.max_request, now);
   });
   const CellRow& newest = this->Newest();
   if (row.servers == newest.servers && row.overrides == newest.overrides &&
@@ -92,18 +104,23 @@
   for (const auto& former : row.formers) {
     if (!this->exclusions.Cleared(former, this_term)) return false;
   }
+  // A standby that is excluded may have led under a higher term before. It is
+  // dropped by a stored row of a still higher term first, so that the versions
+  // of successive owners never go back.
   return row.standby.Empty() ||
-         this->exclusions.Cleared(row.standby, row.version);
+         this->exclusions.Promised(row.standby, row.version);
 }
 
 bool CellMachine::OthersLapsed(kernel::Duration extra, Instant now) const {
   if (!this->rules.wait_for_other_instances) return true;
   const CellRow& row = *this->next;
   for (const auto& former : row.formers) {
-    if (!this->exclusions.GrantsLapsed(former, extra, now)) return false;
+    const bool lapsed = this->exclusions.GrantsLapsed(
+        former, {row.version.term, 0}, extra, now);
+    if (!lapsed) return false;
   }
   return row.standby.Empty() ||
-         this->exclusions.GrantsLapsed(row.standby, extra, now);
+         this->exclusions.GrantsLapsed(row.standby, row.version, extra, now);
 }
 
 bool CellMachine::OverridesOrGainers() const {
@@ -142,7 +159,10 @@
   const kernel::Duration extra =
       checks ? kernel::Duration(0) : this->timing.max_request;
   if (!this->OthersLapsed(extra, now)) return false;
-  if (acknowledged) return !this->Busy(server.name);
+  // Nor does it refuse an older order that was delayed in the network.
+  if (acknowledged) {
+    return !this->Busy(server.name) && now > record->earlier_lapses_at;
+  }
   if (record == nullptr || record->lapses_at == kernel::kNever) return true;
   return now > record->lapses_at + extra;
 }
@@ -168,12 +188,15 @@
 void CellMachine::FinishMove(Instant now) {
   if (!this->next || !this->MayFinishMove(now)) return;
   this->counters.owner_changes += 1;
-  if (this->store.Down()) this->counters.changes_without_store += 1;
+  if (this->store.StoredVersion() < this->next->version) {
+    this->counters.changes_ahead_of_store += 1;
+  }
   this->serving = *std::move(this->next);
   this->next.reset();
   this->owners_since = this->serving.version;
   this->inherited_move = false;
   this->unknown_past = false;
+  this->next_told = false;
   this->moving_in_flight.clear();
 }
 
@@ -196,9 +219,14 @@
   const bool owns_now = served != nullptr && served->state == ServerState::kIn;
   const bool owns_next = server.state == ServerState::kIn;
   // Servers hear of a change of owners once nobody can act on the old row any
-  // more and their requests for moving keys have ended.
-  const bool tell_next =
-      this->next && this->OthersCleared() && !this->Busy(server.name);
+  // more and their requests for moving keys have ended. A change that another
+  // instance began may be complete there: no grant may follow the old row
+  // alone.
+  const bool ready =
+      this->inherited_move || this->next_told ||
+      (this->next && this->OthersCleared() && !this->Busy(server.name));
+  const bool tell_next = this->next && ready;
+  this->next_told = this->next_told || tell_next;
   // A lost server gets no more time, so that its last grant lapses soonest.
   const bool lost =
       this->next && !owns_next && !this->Answers(server.name, now);
--- a/src/ownership/cell_timing.h
+++ b/src/ownership/cell_timing.h
@@ -15,7 +15,7 @@
   kernel::Duration renew_period = kernel::milliseconds(150);
   kernel::Duration lease = kernel::milliseconds(600);
   kernel::Duration server_lost_after = kernel::milliseconds(400);
-  kernel::Duration probe_period = kernel::milliseconds(500);
+  kernel::Duration probe_period = kernel::milliseconds(200);
   kernel::Duration rejoin_after = kernel::milliseconds(1000);
   kernel::Duration store_period = kernel::milliseconds(300);
   kernel::Duration orphan_read_period = kernel::seconds(1);
--- a/src/ownership/control_task.cc
+++ b/src/ownership/control_task.cc
@@ -562,7 +562,7 @@
     sum.step_downs += one.step_downs;
     sum.hand_overs += one.hand_overs;
     sum.owner_changes += one.owner_changes;
-    sum.changes_without_store += one.changes_without_store;
+    sum.changes_ahead_of_store += one.changes_ahead_of_store;
     sum.excluded_by_promise += one.excluded_by_promise;
     sum.excluded_by_list += one.excluded_by_list;
     sum.excluded_by_budget += one.excluded_by_budget;
@@ -592,8 +592,8 @@
       {"chervilmux_step_downs_total", sum.step_downs},
       {"chervilmux_hand_overs_total", sum.hand_overs},
       {"chervilmux_owner_changes_total", sum.owner_changes},
-      {"chervilmux_owner_changes_without_store_total",
-       sum.changes_without_store},
+      {"chervilmux_owner_changes_ahead_of_store_total",
+       sum.changes_ahead_of_store},
       {"chervilmux_excluded_by_promise_total", sum.excluded_by_promise},
       {"chervilmux_excluded_by_list_total", sum.excluded_by_list},
       {"chervilmux_excluded_by_budget_total", sum.excluded_by_budget},
--- a/src/ownership/exclusion_book.cc
+++ b/src/ownership/exclusion_book.cc
@@ -25,11 +25,9 @@
                               kernel::Instant now) {
   Other& other = this->others[instance];
   if (version <= other.promised) return;
-  if (other.cleared_at == kernel::kNever) {
-    other.cleared_at = now;
-    this->counters.by_promise += 1;
-  }
   other.promised = version;
+  other.promised_at = now;
+  this->counters.by_promise += 1;
 }
 
 void ExclusionBook::OnDropStored(const InstanceId& instance,
@@ -43,7 +41,7 @@
 void ExclusionBook::Exclude(Other& other, std::uint64_t& counter,
                             kernel::Instant now) {
   other.excluded = true;
-  if (other.cleared_at == kernel::kNever) other.cleared_at = now;
+  other.excluded_at = now;
   counter += 1;
 }
 
@@ -64,11 +62,15 @@
   }
 }
 
+bool ExclusionBook::Promised(const InstanceId& instance,
+                             RowVersion version) const {
+  const auto found = this->others.find(instance);
+  return found != this->others.end() && found->second.promised >= version;
+}
+
 bool ExclusionBook::Cleared(const InstanceId& instance,
                             RowVersion version) const {
-  const auto found = this->others.find(instance);
-  if (found == this->others.end()) return false;
-  return found->second.excluded || found->second.promised >= version;
+  return this->Excluded(instance) || this->Promised(instance, version);
 }
 
 bool ExclusionBook::Excluded(const InstanceId& instance) const {
@@ -76,14 +78,14 @@
   return found != this->others.end() && found->second.excluded;
 }
 
-bool ExclusionBook::GrantsLapsed(const InstanceId& instance,
+bool ExclusionBook::GrantsLapsed(const InstanceId& instance, RowVersion version,
                                  kernel::Duration extra,
                                  kernel::Instant now) const {
-  const auto found = this->others.find(instance);
-  if (found == this->others.end()) return false;
-  if (found->second.cleared_at == kernel::kNever) return false;
-  return now > found->second.cleared_at +
-                   this->timing.Stretch(this->timing.lease) + extra;
+  if (!this->Cleared(instance, version)) return false;
+  const Other& other = this->others.at(instance);
+  const kernel::Instant cleared_at =
+      other.promised >= version ? other.promised_at : other.excluded_at;
+  return now > cleared_at + this->timing.Stretch(this->timing.lease) + extra;
 }
 
 }  // namespace chervilmux::ownership
--- a/src/ownership/exclusion_book.h
+++ b/src/ownership/exclusion_book.h
@@ -48,15 +48,19 @@
   /// Applies the list and the isolation budget.
   void Update(const Neighbourhood& neighbourhood, kernel::Instant now);
 
+  /// Whether `instance` promised not to act on rows older than `version`.
+  bool Promised(const InstanceId& instance, RowVersion version) const;
+
   /// Whether `instance` cannot act on rows older than `version`.
   bool Cleared(const InstanceId& instance, RowVersion version) const;
 
   /// Whether `instance` is excluded for good, by list or budget.
   bool Excluded(const InstanceId& instance) const;
 
-  /// Whether also every grant of `instance` has lapsed.
-  bool GrantsLapsed(const InstanceId& instance, kernel::Duration extra,
-                    kernel::Instant now) const;
+  /// Whether also every grant that `instance` gave under rows older than
+  /// `version` has lapsed, and `extra` has passed since.
+  bool GrantsLapsed(const InstanceId& instance, RowVersion version,
+                    kernel::Duration extra, kernel::Instant now) const;
 
   const Counters& Count() const { return this->counters; }
 
@@ -65,8 +69,11 @@
     bool counterpart_is_self = false;
     bool excluded = false;
     RowVersion promised;
+    /// When `promised` rose last: an instance that promised earlier may have
+    /// led and granted since.
+    kernel::Instant promised_at = kernel::kNever;
     kernel::Instant drop_stored_at = kernel::kNever;
-    kernel::Instant cleared_at = kernel::kNever;
+    kernel::Instant excluded_at = kernel::kNever;
   };
 
   void Exclude(Other& other, std::uint64_t& counter, kernel::Instant now);
--- a/src/ownership/grant_ledger.cc
+++ b/src/ownership/grant_ledger.cc
@@ -22,6 +22,9 @@
   GrantRecord& record = this->At(server);
   if (record.first_order == kernel::kNever) record.first_order = now;
   record.last_order = now;
+  if (content != record.last_content) {
+    record.earlier_lapses_at = record.lapses_at;
+  }
   record.last_content = content;
   this->counter += 1;
   GrantOrder order;
@@ -40,7 +43,10 @@
 void GrantLedger::OnReply(const GrantReply& reply, kernel::Instant now) {
   GrantRecord& record = this->At(reply.server);
   record.checks_tokens = reply.checks_tokens;
+  record.last_reply = now;
   if (!reply.accepted) {
+    // Another life refuses a deadline of the earlier one's clock: ask anew.
+    if (reply.incarnation != record.incarnation) record.has_reading = false;
     record.superseded_by = std::max(record.superseded_by, reply.highest);
     record.ok_since = kernel::kNever;
     return;
@@ -59,6 +65,7 @@
     record.live_until = reply.ordered_at + this->timing.Shrink(left);
     record.live_token = reply.token;
     record.live_serving = reply.serving;
+    record.live_version = reply.version;
   }
   record.acked_version = reply.version;
   record.acked_term = reply.token.term;
--- a/src/ownership/grant_ledger.h
+++ b/src/ownership/grant_ledger.h
@@ -40,13 +40,18 @@
   kernel::Instant reading_after;   ///< Our clock, not later than reading.
   kernel::Instant reading_before;  ///< Our clock, not before the reading.
   kernel::Instant lapses_at = kernel::kNever;  ///< Any grant is over then.
+  /// Any grant whose content differs from the last order's is over then.
+  kernel::Instant earlier_lapses_at = kernel::kNever;
   kernel::Instant live_until =
-      kernel::kNever;                         ///< Last one is live until then.
-  Token live_token;                           ///< Of the last accepted grant.
-  RowVersion live_serving;                    ///< Of the last accepted grant.
-  RowVersion acked_version;                   ///< Of the last accepted order.
-  std::uint64_t acked_term = 0;               ///< Of the last accepted order.
-  kernel::Instant last_ok = kernel::kNever;   ///< Last accepted reply.
+      kernel::kNever;                        ///< Last one is live until then.
+  Token live_token;                          ///< Of the last accepted grant.
+  RowVersion live_serving;                   ///< Of the last accepted grant.
+  RowVersion live_version;                   ///< Of the last accepted grant.
+  RowVersion acked_version;                  ///< Of the last accepted order.
+  std::uint64_t acked_term = 0;              ///< Of the last accepted order.
+  kernel::Instant last_ok = kernel::kNever;  ///< Last accepted reply.
+  /// Last reply of any kind: a server that refuses is not lost.
+  kernel::Instant last_reply = kernel::kNever;
   kernel::Instant ok_since = kernel::kNever;  ///< Start of unbroken replies.
   kernel::Instant first_order = kernel::kNever;
   kernel::Instant last_order = kernel::kNever;
