Losses with separate processes; faults found there and in unavailable time

Causes found and repaired: - SIGCONT after a freeze ended both task loops for good: ACE's event loop returns when a signal interrupts the wait. The loop is now ours; - a request that had possibly run and was then refused was answered `not-run` (found by the servers' own count): it is now `unknown`; - an instance that had left stayed "leaving" in its next life; - an instance started in an outage met only its seed: heartbeats now introduce two other peers each; - `chervilmux publish` could crash at its end (promise freed while being set); - requests given up after sending were not counted as unfinished in a move. The log was also polluted by ACE's own lines; they are switched off.

Ruled out: late clock readings (ignoring them changed no figure; tried and reverted). Cause: a standby's promise was taken to leave a whole lease of its grants open, though it had granted nothing. Promises now say for how long grants of their giver can be live.

--- a/apps/chervilmux/platform_session.h
+++ b/apps/chervilmux/platform_session.h
@@ -23,6 +23,11 @@
     this->task.Start();
   }
 
+  /// The task must be idle before its sockets go.
+  ~PlatformSession() { this->task.Stop(); }
+  PlatformSession(const PlatformSession&) = delete;
+  PlatformSession& operator=(const PlatformSession&) = delete;
+
   platform::TableReply ReadRow(std::string_view key) {
     return this->Wait<platform::TableReply>(
         [&](auto done) { this->platform.ReadRow(key, std::move(done)); });
@@ -51,11 +56,13 @@
   /// arguments stay alive meanwhile.
   template <typename Reply, typename Start>
   Reply Wait(Start start) {
-    std::promise<Reply> promise;
-    this->task.Post([&] {
-      start([&](Reply reply) { promise.set_value(std::move(reply)); });
+    // Shared: the setter may still touch it when the getter has returned.
+    auto promise = std::make_shared<std::promise<Reply>>();
+    auto future = promise->get_future();
+    this->task.Post([start, promise] {
+      start([promise](Reply reply) { promise->set_value(std::move(reply)); });
     });
-    return promise.get_future().get();
+    return future.get();
   }
 
   kernel::ReactorTask task;
--- a/src/kernel/task.cc
+++ b/src/kernel/task.cc
@@ -34,7 +34,7 @@
 void ReactorTask::Stop() {
   if (!this->running) return;
   this->running = false;
-  this->Post([this] { this->reactor_of_task->end_reactor_event_loop(); });
+  this->Post([this] { this->ending = true; });
   this->wait();
   this->timers.clear();
 }
@@ -58,7 +58,8 @@
 
 int ReactorTask::svc() {
   this->reactor_of_task->owner(ACE_Thread::self());
-  this->reactor_of_task->run_reactor_event_loop();
+  // ACE's own loop ends when a signal interrupts the wait, as SIGCONT does.
+  while (!this->ending) this->reactor_of_task->handle_events();
   return 0;
 }
 
--- a/src/kernel/task.h
+++ b/src/kernel/task.h
@@ -59,6 +59,7 @@
   std::mutex mutex;
   std::vector<Message> inbox;
   bool running = false;
+  bool ending = false;  ///< Touched by the task's thread only.
 };
 
 }  // namespace chervilmux::kernel
--- a/src/membership/heartbeat.cc
+++ b/src/membership/heartbeat.cc
@@ -17,6 +17,7 @@
 constexpr std::uint64_t kHeartbeatTag = 1;
 constexpr std::uint64_t kCellTag = 2;
 constexpr std::uint64_t kMaxLedCells = 4096;
+constexpr std::uint64_t kMaxIntroductions = 16;
 
 void Put(net::CdrWriter& writer, const ownership::InstanceId& id) {
   writer.PutText(id.name);
@@ -73,6 +74,8 @@
   Put(writer, heartbeat.operator_address);
   writer.Put(heartbeat.manifest_revision);
   writer.Put(heartbeat.stopping ? 1 : 0);
+  writer.Put(heartbeat.introductions.size());
+  for (const auto& address : heartbeat.introductions) Put(writer, address);
   writer.Put(heartbeat.leads.size());
   for (const auto& led : heartbeat.leads) {
     writer.PutText(led.cell);
@@ -91,6 +94,7 @@
   Put(writer, message.serving_version);
   Put(writer, message.row);
   Put(writer, message.serving);
+  writer.PutSigned(message.grants_left.count());
   writer.PutSigned(kernel::ToWire(message.sent_at));
   writer.PutSigned(kernel::ToWire(message.echo_of));
 }
@@ -103,6 +107,13 @@
   heartbeat.operator_address = GetAddress(reader);
   heartbeat.manifest_revision = reader.Get();
   heartbeat.stopping = reader.Get() != 0;
+  const std::uint64_t introductions = reader.Get();
+  if (introductions > kMaxIntroductions) {
+    return Fail(ErrorKind::kMessageMalformed, "too many introductions");
+  }
+  for (std::uint64_t i = 0; i < introductions && reader.Good(); ++i) {
+    heartbeat.introductions.push_back(GetAddress(reader));
+  }
   const std::uint64_t count = reader.Get();
   if (count > kMaxLedCells) {
     return Fail(ErrorKind::kMessageMalformed, "too many cells in heartbeat");
@@ -134,6 +145,7 @@
   BOOST_OUTCOME_TRY(serving, GetRow(reader));
   message.row = std::move(row);
   message.serving = std::move(serving);
+  message.grants_left = kernel::Duration(reader.GetSigned());
   message.sent_at = kernel::FromWire(reader.GetSigned());
   message.echo_of = kernel::FromWire(reader.GetSigned());
   if (!reader.Good() || message.from.Empty()) {
--- a/src/membership/peer_table.cc
+++ b/src/membership/peer_table.cc
@@ -22,6 +22,8 @@
   Peer& peer = this->peers[heartbeat.from.name];
   // A message of an earlier life may arrive late.
   if (heartbeat.from.incarnation < peer.id.incarnation) return;
+  const bool new_life = heartbeat.from.incarnation > peer.id.incarnation;
+  if (new_life) peer.leaving = false;
   peer.id = heartbeat.from;
   peer.failure_domain = heartbeat.failure_domain;
   peer.peer_address = heartbeat.peer_address;
@@ -132,6 +134,18 @@
   return before < readers;
 }
 
+std::vector<net::Address> PeerTable::Introductions(std::size_t count) {
+  std::vector<net::Address> all;
+  for (const auto& [name, peer] : this->peers) {
+    if (!peer.peer_address.Empty()) all.push_back(peer.peer_address);
+  }
+  std::vector<net::Address> chosen;
+  for (std::size_t i = 0; i < std::min(count, all.size()); ++i) {
+    chosen.push_back(all[this->next_introduction++ % all.size()]);
+  }
+  return chosen;
+}
+
 std::vector<net::Address> PeerTable::HeartbeatTargets(std::size_t count) {
   std::vector<net::Address> all;
   for (const auto& [name, peer] : this->peers) {
@@ -158,6 +172,12 @@
   return best;
 }
 
+bool PeerTable::KnowsAddress(const net::Address& address) const {
+  return std::ranges::any_of(this->peers, [&](const auto& entry) {
+    return entry.second.peer_address == address;
+  });
+}
+
 net::Address PeerTable::AddressOf(std::string_view name) const {
   const auto found = this->peers.find(name);
   return found == this->peers.end() ? net::Address{}
--- a/src/membership/peer_table.h
+++ b/src/membership/peer_table.h
@@ -71,10 +71,17 @@
   /// Up to `count` peers to send heartbeats to; all of them in turns.
   std::vector<net::Address> HeartbeatTargets(std::size_t count);
 
+  /// Up to `count` addresses of peers to tell others of; all in turns. They let
+  /// an instance that started without the platform's list find everybody.
+  std::vector<net::Address> Introductions(std::size_t count);
+
   /// The live peer with the highest manifest revision above `revision`.
   const Peer* PeerWithNewerManifest(std::uint64_t revision,
                                     kernel::Instant now) const;
 
+  /// Whether `address` is the peer address of a known instance.
+  bool KnowsAddress(const net::Address& address) const;
+
   /// Address of an instance's current life, or an empty one.
   net::Address AddressOf(std::string_view name) const;
 
@@ -94,6 +101,7 @@
   kernel::Duration suspect_after;
   bool self_leaving = false;
   std::size_t next_target = 0;
+  std::size_t next_introduction = 0;
   std::map<std::string, Peer, std::less<>> peers;
   std::map<std::string, ownership::ListedGone, std::less<>> gone;
   std::map<std::string, CellLeader, std::less<>> leaders;
--- a/src/observe/log.cc
+++ b/src/observe/log.cc
@@ -1,5 +1,6 @@
 #include "observe/log.h"
 
+#include <ace/Log_Msg.h>
 #include <json/json.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -101,6 +102,8 @@
 }
 
 void StartLog(const LogIdentity& identity, std::string_view level) {
+  // ACE would write lines of its own, which are not JSON.
+  ACE_LOG_MSG->priority_mask(0, ACE_Log_Msg::PROCESS);
   auto state = std::make_unique<State>();
   state->identity = identity;
   state->logger = log4cplus::Logger::getRoot();
--- a/src/ownership/cell_events.h
+++ b/src/ownership/cell_events.h
@@ -31,7 +31,9 @@
   /// The newest row (kPing); empty when the addressee has accepted it.
   std::optional<CellRow> row;
   std::optional<CellRow> serving;  ///< Set while it differs from `row`.
-  kernel::Instant sent_at;         ///< On the sender's clock.
+  /// For how long grants of the sender may still be live.
+  kernel::Duration grants_left{0};
+  kernel::Instant sent_at;  ///< On the sender's clock.
   /// The newest `sent_at` received from the addressee, on the addressee's
   /// clock: proof of a round trip that no delay in the network can stretch.
   kernel::Instant echo_of = kernel::kNever;
--- a/src/ownership/cell_machine.cc
+++ b/src/ownership/cell_machine.cc
@@ -130,7 +130,8 @@
   if (message.kind == PeerMessage::Kind::kEcho) {
     const bool of_my_term = message.version.term == mine.term;
     if (this->role != Role::kLeader || !of_my_term) return;
-    this->exclusions.OnPromise(message.from, message.version, now);
+    this->exclusions.OnPromise(message.from, message.version,
+                               message.grants_left, now);
     this->accepted[message.from] = {message.version, message.serving_version};
     if (message.from != this->Newest().standby) return;
     this->heard_standby_at = now;
@@ -156,7 +157,8 @@
   if (message.row) this->AdoptRow(*message.row, message.serving, now);
   if (this->role == Role::kLeader) {
     // A hand-over: its sender stopped before it sent this.
-    this->exclusions.OnPromise(message.from, message.version, now);
+    this->exclusions.OnPromise(message.from, message.version,
+                               message.grants_left, now);
   }
   if (this->role != Role::kNone) this->NoteContact(message.echo_of);
   this->heard_primary_at = now;
@@ -359,6 +361,7 @@
   message.from = this->self;
   message.version = this->Newest().version;
   message.serving_version = this->serving.version;
+  message.grants_left = this->ledger.GrantsLeft(now);
   message.sent_at = now;
   // A former must run out of contact; only the pair proves contact.
   const CellRow& row = this->Newest();
--- a/src/ownership/control_task.cc
+++ b/src/ownership/control_task.cc
@@ -17,11 +17,13 @@
 constexpr kernel::Duration kListPeriod = kernel::milliseconds(500);
 constexpr kernel::Duration kManifestPeriod = kernel::milliseconds(500);
 constexpr kernel::Duration kMetricsPeriod = kernel::seconds(1);
-constexpr kernel::Duration kHeartbeatPeriod = kernel::milliseconds(250);
-constexpr kernel::Duration kPeerSuspectAfter = kernel::seconds(1);
+constexpr kernel::Duration kHeartbeatPeriod = kernel::milliseconds(500);
+constexpr kernel::Duration kPeerSuspectAfter = kernel::milliseconds(1750);
 constexpr kernel::Duration kGrantTimeout = kernel::milliseconds(300);
 constexpr kernel::Duration kPullTimeout = kernel::seconds(2);
-constexpr std::size_t kHeartbeatTargets = 16;
+constexpr std::size_t kHeartbeatTargets = 12;
+constexpr std::size_t kIntroductions = 2;
+constexpr std::size_t kMaxSeeds = 32;
 constexpr std::size_t kStoreReadersPerDomain = 2;
 constexpr long kControlConnectionsPerServer = 2;
 constexpr std::size_t kMaxManifestBytes = 64U << 20U;
@@ -234,6 +236,7 @@
   heartbeat.operator_address = this->settings.operator_address;
   heartbeat.manifest_revision = this->manifest.Revision();
   heartbeat.stopping = this->stopping;
+  heartbeat.introductions = this->peers.Introductions(kIntroductions);
   for (const auto& [name, cell] : this->cells) {
     if (cell.machine.CurrentRole() != CellMachine::Role::kLeader) continue;
     heartbeat.leads.push_back({name, cell.machine.Newest().version.term});
@@ -249,6 +252,10 @@
   this->last_heartbeat = now;
   const std::string bytes = membership::Encode(this->MakeHeartbeat());
   auto targets = this->peers.HeartbeatTargets(kHeartbeatTargets);
+  // A seed that has become a peer gets its heartbeats as such.
+  std::erase_if(this->settings.seeds, [this](const net::Address& seed) {
+    return this->peers.KnowsAddress(seed);
+  });
   for (const auto& seed : this->settings.seeds) {
     if (std::ranges::find(targets, seed) == targets.end()) {
       targets.push_back(seed);
@@ -270,6 +277,7 @@
   }
   if (const auto* beat = std::get_if<membership::Heartbeat>(&decoded.value())) {
     this->peers.OnHeartbeat(*beat, now);
+    this->Meet(beat->introductions);
     return;
   }
   const auto& datagram = std::get<membership::CellDatagram>(decoded.value());
@@ -280,6 +288,18 @@
   this->Perform(found->first, found->second, actions);
 }
 
+void ControlTask::Meet(std::span<const net::Address> introductions) {
+  auto& seeds = this->settings.seeds;
+  for (const auto& address : introductions) {
+    if (seeds.size() >= kMaxSeeds || address.Empty()) return;
+    if (address == this->settings.peer_address) continue;
+    if (this->peers.KnowsAddress(address)) continue;
+    if (std::ranges::find(seeds, address) == seeds.end()) {
+      seeds.push_back(address);
+    }
+  }
+}
+
 void ControlTask::PullManifest() {
   if (this->pull_open) return;
   const membership::Peer* peer = this->peers.PeerWithNewerManifest(
--- a/src/ownership/control_task.h
+++ b/src/ownership/control_task.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -104,6 +105,7 @@
 
   // Peers.
   void OnDatagram(std::string_view bytes);
+  void Meet(std::span<const net::Address> introductions);
   void PullManifest();
   membership::Heartbeat MakeHeartbeat();
 
--- a/src/ownership/exclusion_book.cc
+++ b/src/ownership/exclusion_book.cc
@@ -22,11 +22,12 @@
 }
 
 void ExclusionBook::OnPromise(const InstanceId& instance, RowVersion version,
+                              kernel::Duration grants_left,
                               kernel::Instant now) {
   Other& other = this->others[instance];
   if (version <= other.promised) return;
   other.promised = version;
-  other.promised_at = now;
+  other.promise_lapses_at = now + this->timing.Stretch(grants_left);
   this->counters.by_promise += 1;
 }
 
@@ -83,9 +84,11 @@
                                  kernel::Instant now) const {
   if (!this->Cleared(instance, version)) return false;
   const Other& other = this->others.at(instance);
-  const kernel::Instant cleared_at =
-      other.promised >= version ? other.promised_at : other.excluded_at;
-  return now > cleared_at + this->timing.Stretch(this->timing.lease) + extra;
+  const kernel::Instant lapses_at =
+      other.promised >= version
+          ? other.promise_lapses_at
+          : other.excluded_at + this->timing.Stretch(this->timing.lease);
+  return now > lapses_at + extra;
 }
 
 }  // namespace chervilmux::ownership
--- a/src/ownership/exclusion_book.h
+++ b/src/ownership/exclusion_book.h
@@ -38,9 +38,10 @@
   /// Forgets everything, when leadership starts anew.
   void Clear() { this->others.clear(); }
 
-  /// `instance` promised not to act on rows older than `version`.
+  /// `instance` promised not to act on rows older than `version`; its grants
+  /// may be live for `grants_left` more, by its own clock.
   void OnPromise(const InstanceId& instance, RowVersion version,
-                 kernel::Instant now);
+                 kernel::Duration grants_left, kernel::Instant now);
 
   /// The store holds a row in which `instance` has no part.
   void OnDropStored(const InstanceId& instance, kernel::Instant now);
@@ -69,9 +70,9 @@
     bool counterpart_is_self = false;
     bool excluded = false;
     RowVersion promised;
-    /// When `promised` rose last: an instance that promised earlier may have
-    /// led and granted since.
-    kernel::Instant promised_at = kernel::kNever;
+    /// When the grants given before the last rise of `promised` are over. An
+    /// earlier promise does not count: the instance may have led since.
+    kernel::Instant promise_lapses_at = kernel::kNever;
     kernel::Instant drop_stored_at = kernel::kNever;
     kernel::Instant excluded_at = kernel::kNever;
   };
--- a/src/ownership/grant_ledger.cc
+++ b/src/ownership/grant_ledger.cc
@@ -40,6 +40,15 @@
   return order;
 }
 
+kernel::Duration GrantLedger::GrantsLeft(kernel::Instant now) const {
+  kernel::Duration left(0);
+  for (const auto& [server, record] : this->records) {
+    if (record.lapses_at <= now) continue;
+    left = std::max(left, kernel::Duration(record.lapses_at - now));
+  }
+  return left;
+}
+
 void GrantLedger::OnReply(const GrantReply& reply, kernel::Instant now) {
   GrantRecord& record = this->At(reply.server);
   record.checks_tokens = reply.checks_tokens;
--- a/src/ownership/grant_ledger.h
+++ b/src/ownership/grant_ledger.h
@@ -76,6 +76,9 @@
   GrantOrder Issue(std::string_view server, const OrderContent& content,
                    kernel::Instant now);
 
+  /// For how long some grant of ours may still be live; zero when none is.
+  kernel::Duration GrantsLeft(kernel::Instant now) const;
+
   /// Takes in a server's answer.
   void OnReply(const GrantReply& reply, kernel::Instant now);
 
--- a/src/routing/job.h
+++ b/src/routing/job.h
@@ -43,6 +43,9 @@
   bool from_relay = false;  ///< The instance that relayed it does the retries.
   bool retried = false;
   unsigned attempt = 1;
+  /// An earlier attempt may have been executed: whatever happens later, the
+  /// caller must not be told `not-run`.
+  bool possibly_run = false;
   ReplyHandler reply;
 
   JobState state = JobState::kBackoff;
--- a/src/routing/router_task.cc
+++ b/src/routing/router_task.cc
@@ -206,6 +206,9 @@
 
 void RouterTask::FailAttempt(Job& job, Error error) {
   const Instant now = kernel::Now();
+  if (kernel::TraitsOf(error.kind).outcome == kernel::Outcome::kUnknown) {
+    job.possibly_run = true;
+  }
   if (!job.from_relay) {
     const policy::Attempt attempt{error.kind, job.attempt, job.idempotent,
                                   job.deadline};
@@ -229,12 +232,20 @@
 }
 
 void RouterTask::Finish(Job& job, Reply reply) {
+  const bool claims_not_run =
+      !reply.answer && kernel::TraitsOf(reply.answer.error().kind).outcome ==
+                           kernel::Outcome::kNotRun;
+  if (claims_not_run && job.possibly_run) {
+    reply.answer = Fail(ErrorKind::kDeadlineExceeded,
+                        "an earlier attempt may have run; the last one: " +
+                            reply.answer.error().detail);
+  }
   if (job.state == JobState::kSent) {
     this->QueueOf(job.cell, job.server).OnFailed(job.key_hash);
-    const net::TransferId transfer = std::exchange(job.transfer, 0);
+    this->Abandon(job);
     job.state = JobState::kBackoff;
     this->CancelAtServer(job);
-    this->servers.Cancel(transfer);
+    this->servers.Cancel(std::exchange(job.transfer, 0));
   } else if (job.state == JobState::kQueued) {
     this->QueueOf(job.cell, job.server).Drop(job.id);
   } else if (job.state == JobState::kRelayed) {
@@ -266,6 +277,9 @@
 
 void RouterTask::Tick() {
   const Instant now = kernel::Now();
+  std::erase_if(this->abandoned, [&](const AbandonedRequest& request) {
+    return now >= request.deadline;
+  });
   std::vector<std::uint64_t> due;
   for (const auto& [id, job] : this->jobs) {
     const bool resumes =
@@ -457,6 +471,9 @@
       queue.OnShed(job->key_hash);
     } else {
       queue.OnFailed(job->key_hash);
+      const bool may_run =
+          kernel::TraitsOf(error.kind).outcome == kernel::Outcome::kUnknown;
+      if (may_run) this->Abandon(*job);
     }
     this->FailAttempt(*job, error);
   }
@@ -504,6 +521,7 @@
     Job* job = this->Find(id);
     if (job == nullptr) continue;
     this->QueueOf(job->cell, job->server).OnFailed(job->key_hash);
+    this->Abandon(*job);
     job->state = JobState::kBackoff;
     this->servers.Cancel(std::exchange(job->transfer, 0));
     this->FailAttempt(*job, {ErrorKind::kServerSilent, "server was lost"});
@@ -517,10 +535,7 @@
     if (!led.next) continue;
     for (const auto& [server, entry] : led.servers) counts[{cell, server}] = 0;
   }
-  if (counts.empty()) {
-    this->reported_moving.clear();
-    return;
-  }
+  if (counts.empty()) return;
   for (const auto& [id, job] : this->jobs) {
     if (job->state != JobState::kSent) continue;
     const LedCellView* led = this->Led(job->cell);
@@ -528,12 +543,23 @@
     if (led->next->OwnerOf(job->key_hash) == job->server) continue;
     counts[{job->cell, job->server}] += 1;
   }
+  for (const auto& request : this->abandoned) {
+    const LedCellView* led = this->Led(request.place.cell);
+    if (led == nullptr || !led->next) continue;
+    if (led->next->OwnerOf(request.key_hash) == request.place.server) continue;
+    counts[{request.place.cell, request.place.server}] += 1;
+  }
   for (const auto& [place, count] : counts) {
     this->moving(place.first, this->view->led.at(place.first).version,
                  place.second, count);
   }
 }
 
+void RouterTask::Abandon(const Job& job) {
+  this->abandoned.push_back(
+      {{job.cell, job.server}, job.key_hash, job.deadline});
+}
+
 void RouterTask::CancelAtServer(const Job& job) {
   const LedCellView* led = this->Led(job.cell);
   if (led == nullptr) return;
@@ -679,6 +705,7 @@
     if (job == nullptr) continue;
     this->relay.Send(job->link, Encode(RelayCancel{job->id}));
     job->state = JobState::kBackoff;
+    job->possibly_run = true;
     this->metrics.Count("chervilmux_rerouted_total").Add();
     this->Route(*job);
   }
--- a/src/routing/router_task.h
+++ b/src/routing/router_task.h
@@ -107,6 +107,7 @@
   void DropOutServers();
   void DropLostRequests();
   void ReportMoving();
+  void Abandon(const Job& job);
   void CancelAtServer(const Job& job);
 
   // Between instances.
@@ -133,11 +134,17 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<Job>> jobs;
   std::unordered_map<std::string, std::uint64_t> job_of_request;
   std::map<QueueKey, policy::ServerQueue> queues;
+  /// A request that was given up after it had been sent. The server may still
+  /// run it, so it counts as unfinished until its deadline.
+  struct AbandonedRequest {
+    QueueKey place;
+    std::uint64_t key_hash = 0;
+    kernel::Instant deadline;
+  };
+  std::vector<AbandonedRequest> abandoned;
   std::map<net::Address, net::LinkId> links;
   std::map<std::pair<net::LinkId, std::uint64_t>, std::uint64_t> relayed_in;
-  std::map<std::pair<std::string, std::string>, std::size_t> reported_moving;
   std::vector<std::function<void()>> when_idle;
-  std::uint64_t random_state = 1;
 };
 
 }  // namespace chervilmux::routing
--- a/test/fakes/fake_backend.cc
+++ b/test/fakes/fake_backend.cc
@@ -93,6 +93,7 @@
     if (path == "/_grant") return this->Grant(request, respond);
     if (path == "/_cancel") return respond({200, {}, ""});
     if (path == "/_stats") return respond(this->Stats());
+    if (path == "/_runs") return respond(this->Runs());
     if (path == "/_fault") {
       const std::lock_guard lock(this->mutex);
       this->mode = request.url.substr(request.url.find('=') + 1);
@@ -139,6 +140,13 @@
     return {200, {}, kernel::PrintJson(body)};
   }
 
+  net::HttpAnswer Runs() {
+    const std::lock_guard lock(this->mutex);
+    Json::Value body(Json::objectValue);
+    for (const auto& [id, runs] : this->runs_of_request) body[id] = runs;
+    return {200, {}, kernel::PrintJson(body)};
+  }
+
   void Run(const net::HttpRequest& request, net::Responder respond) {
     const std::string id(net::FindHeader(request.headers, "X-Request-Id"));
     const std::string cell(net::FindHeader(request.headers, "X-Grant-Cell"));
@@ -185,6 +193,9 @@
     body["url"] = request.url;
     body["body"] = request.body;
     body["runs"] = runs;
+    for (const auto& header : request.headers) {
+      body["headers"][header.name] = header.value;
+    }
     const std::string answered =
         this->mode == "crossed" ? "another-request" : id;
     return {200,
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -78,6 +79,8 @@
         self.processes = []
 
     def __enter__(self):
+        # A terminated script must still end what it started.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
         return self
 
     def __exit__(self, *_):
@@ -137,6 +140,11 @@
         return json.loads(
             http_call(self.addresses[server], "GET", "/_stats")[2])
 
+    def backend_runs(self, server):
+        """Request id -> how often the server ran it."""
+        return json.loads(
+            http_call(self.addresses[server], "GET", "/_runs")[2])
+
     def enlist(self, entry, state="live"):
         body = {"incarnation": self.incarnations[entry.name],
                 "failure_domain": entry.domain, "peer_address": entry.peer,
