A rolling restart under load cuts nothing

Cause: PlannedStops failed in two ways. (1) SIGSEGV at the end of a planned stop: the reactor's pending notification referred to a handler that was freed before the reactor (core: ACE_Notification_Queue::reset under ~ACE_Reactor). (2) a caller got `unknown`: an idempotent request that was moved to a new primary kept its relay id, so the reply to the cancelled attempt, on the same link, ended the new attempt.

Change: the handler outlives the reactor; each relay attempt has an id of its own, and a request is not moved when the same instance leads again.

--- a/src/kernel/task.cc
+++ b/src/kernel/task.cc
@@ -20,9 +20,9 @@
 };
 
 ReactorTask::ReactorTask()
-    : reactor_of_task(
-          std::make_unique<ACE_Reactor>(new ACE_Dev_Poll_Reactor, true)),
-      wakeup(std::make_unique<Wakeup>(*this)) {}
+    : wakeup(std::make_unique<Wakeup>(*this)),
+      reactor_of_task(
+          std::make_unique<ACE_Reactor>(new ACE_Dev_Poll_Reactor, true)) {}
 
 ReactorTask::~ReactorTask() { this->Stop(); }
 
--- a/src/kernel/task.h
+++ b/src/kernel/task.h
@@ -53,8 +53,10 @@
 
   void RunMessages();
 
-  std::unique_ptr<ACE_Reactor> reactor_of_task;
+  // The reactor's pending notifications refer to `wakeup`, which must therefore
+  // outlive it.
   std::unique_ptr<Wakeup> wakeup;
+  std::unique_ptr<ACE_Reactor> reactor_of_task;
   std::vector<std::unique_ptr<Timer>> timers;
   std::mutex mutex;
   std::vector<Message> inbox;
--- a/src/routing/job.h
+++ b/src/routing/job.h
@@ -55,7 +55,9 @@
   kernel::Instant sent_at = kernel::kNever;    ///< With kSent.
   ownership::RowVersion sent_version;          ///< With kSent.
   net::LinkId link = 0;                        ///< With kRelayed.
-  std::uint64_t relay_term = 0;                ///< With kRelayed.
+  std::uint64_t relay_id = 0;    ///< With kRelayed; new for each attempt.
+  net::Address relay_address;    ///< With kRelayed.
+  std::uint64_t relay_term = 0;  ///< With kRelayed.
 };
 
 }  // namespace chervilmux::routing
--- a/src/routing/router_task.cc
+++ b/src/routing/router_task.cc
@@ -249,7 +249,7 @@
   } else if (job.state == JobState::kQueued) {
     this->QueueOf(job.cell, job.server).Drop(job.id);
   } else if (job.state == JobState::kRelayed) {
-    this->relay.Send(job.link, Encode(RelayCancel{job.id}));
+    this->CancelRelay(job);
   }
   if (!job.from_relay) {
     this->job_of_request.erase(job.request_id);
@@ -578,7 +578,7 @@
   auto& link = this->links[leader.peer_address];
   if (link == 0) link = this->relay.Connect(leader.peer_address);
   RelayRequest frame;
-  frame.id = job.id;
+  frame.id = ++this->last_id;
   frame.request_id = job.request_id;
   frame.service = job.service;
   frame.cell = job.cell;
@@ -594,7 +594,10 @@
   }
   job.state = JobState::kRelayed;
   job.link = link;
+  job.relay_id = frame.id;
+  job.relay_address = leader.peer_address;
   job.relay_term = leader.term;
+  this->job_of_relay[frame.id] = job.id;
   this->metrics.Count("chervilmux_relayed_total").Add();
 }
 
@@ -645,7 +648,9 @@
 }
 
 void RouterTask::OnRelayReply(net::LinkId link, RelayReply frame) {
-  Job* job = this->Find(frame.id);
+  // An attempt that was given up has left this table: its reply is late.
+  const auto relayed = this->job_of_relay.extract(frame.id);
+  Job* job = relayed ? this->Find(relayed.mapped()) : nullptr;
   const bool expected = job != nullptr && job->state == JobState::kRelayed &&
                         job->link == link &&
                         job->request_id == frame.request_id;
@@ -681,6 +686,7 @@
   for (const std::uint64_t id : lost) {
     Job* job = this->Find(id);
     if (job == nullptr) continue;
+    this->job_of_relay.erase(job->relay_id);
     job->state = JobState::kBackoff;
     const ErrorKind kind =
         nothing_sent ? ErrorKind::kPrimaryUnreachable : ErrorKind::kRelayLost;
@@ -688,6 +694,11 @@
   }
 }
 
+void RouterTask::CancelRelay(Job& job) {
+  this->job_of_relay.erase(job.relay_id);
+  this->relay.Send(job.link, Encode(RelayCancel{job.relay_id}));
+}
+
 void RouterTask::RerouteStaleRelays() {
   // A newer leader is known: the old one will not answer idempotent requests
   // any sooner than the new one.
@@ -697,13 +708,14 @@
     const auto leader = this->view->leaders.find(job->cell);
     const bool led_here = this->Led(job->cell) != nullptr;
     const bool newer = leader != this->view->leaders.end() &&
-                       leader->second.term > job->relay_term;
+                       leader->second.term > job->relay_term &&
+                       leader->second.peer_address != job->relay_address;
     if (led_here || newer) stale.push_back(id);
   }
   for (const std::uint64_t id : stale) {
     Job* job = this->Find(id);
     if (job == nullptr) continue;
-    this->relay.Send(job->link, Encode(RelayCancel{job->id}));
+    this->CancelRelay(*job);
     job->state = JobState::kBackoff;
     job->possibly_run = true;
     this->metrics.Count("chervilmux_rerouted_total").Add();
--- a/src/routing/router_task.h
+++ b/src/routing/router_task.h
@@ -118,6 +118,7 @@
   void OnRelayCancel(net::LinkId link, std::uint64_t id);
   void OnLinkClosed(net::LinkId link, bool nothing_sent);
   void RerouteStaleRelays();
+  void CancelRelay(Job& job);
 
   const LedCellView* Led(const std::string& cell) const;
   Job* Find(std::uint64_t id);
@@ -143,6 +144,7 @@
   };
   std::vector<AbandonedRequest> abandoned;
   std::map<net::Address, net::LinkId> links;
+  std::unordered_map<std::uint64_t, std::uint64_t> job_of_relay;
   std::map<std::pair<net::LinkId, std::uint64_t>, std::uint64_t> relayed_in;
   std::vector<std::function<void()>> when_idle;
 };
--- a/test/performance/cell_slopes.cc
+++ b/test/performance/cell_slopes.cc
@@ -28,9 +28,10 @@
 
 /// One measured point: `value` of `what` at size `x`.
 void Emit(const std::string& what, double x, double value, const char* unit) {
-  std::printf("%s  {\"what\": \"%s\", \"x\": %g, \"value\": %.6g, "
-              "\"unit\": \"%s\"}",
-              first_line ? "" : ",\n", what.c_str(), x, value, unit);
+  std::printf(
+      "%s  {\"what\": \"%s\", \"x\": %g, \"value\": %.6g, "
+      "\"unit\": \"%s\"}",
+      first_line ? "" : ",\n", what.c_str(), x, value, unit);
   first_line = false;
 }
 
@@ -106,10 +107,10 @@
     const ownership::Placement placement(MakeRow(8, overrides));
     Emit("heap_of_overrides", static_cast<double>(overrides),
          HeapBytes() - before, "bytes");
-    Emit("row_bytes_by_overrides", static_cast<double>(overrides),
-         static_cast<double>(
-             ownership::EncodeRow(MakeRow(8, overrides)).size()),
-         "bytes");
+    Emit(
+        "row_bytes_by_overrides", static_cast<double>(overrides),
+        static_cast<double>(ownership::EncodeRow(MakeRow(8, overrides)).size()),
+        "bytes");
   }
 }
 
@@ -128,8 +129,8 @@
     Emit("heartbeat_bytes_by_leads", static_cast<double>(leads),
          static_cast<double>(bytes.size()), "bytes");
     Emit("heartbeat_time_by_leads", static_cast<double>(leads),
-         MicrosEach(2000,
-                    [&] { (void)membership::Decode(membership::Encode(beat)); }),
+         MicrosEach(
+             2000, [&] { (void)membership::Decode(membership::Encode(beat)); }),
          "us");
   }
   for (const std::size_t servers : {0U, 8U, 16U, 100U, 1000U}) {
--- a/test/performance/placement_balance.cc
+++ b/test/performance/placement_balance.cc
@@ -73,8 +73,9 @@
 }
 
 /// Moved keys over the fewest that had to move when one server is lost.
-double ChurnOfLoss(std::size_t servers, bool weighted,
-                   const std::function<Owner(const ownership::CellRow&)>& make) {
+double ChurnOfLoss(
+    std::size_t servers, bool weighted,
+    const std::function<Owner(const ownership::CellRow&)>& make) {
   const ownership::CellRow before = MakeRow(servers, weighted);
   ownership::CellRow after = before;
   after.servers[0].state = ownership::ServerState::kOut;
@@ -93,11 +94,12 @@
 
 void Print(std::size_t servers, const char* load_name, const char* method,
            const Balance& balance, double churn, bool first) {
-  std::printf("%s  {\"servers\": %zu, \"load\": \"%s\", \"method\": \"%s\", "
-              "\"max_over_mean\": %.3f, \"variation\": %.3f, "
-              "\"churn_over_minimum\": %.3f}",
-              first ? "" : ",\n", servers, load_name, method,
-              balance.max_over_mean, balance.variation, churn);
+  std::printf(
+      "%s  {\"servers\": %zu, \"load\": \"%s\", \"method\": \"%s\", "
+      "\"max_over_mean\": %.3f, \"variation\": %.3f, "
+      "\"churn_over_minimum\": %.3f}",
+      first ? "" : ",\n", servers, load_name, method, balance.max_over_mean,
+      balance.variation, churn);
 }
 
 }  // namespace
--- a/test/performance/unavailable_time.cc
+++ b/test/performance/unavailable_time.cc
@@ -1,7 +1,7 @@
 // unavailable-time: how long keys go unserved for each kind of loss, in virtual
-// time over many seeds, with store operations per loss, as JSON. The baseline is
-// our own: the same cell with a lease and detection like a plain lease that is
-// renewed in the store every 2 s and held for 6 s.
+// time over many seeds, with store operations per loss, as JSON. The baseline
+// is our own: the same cell with a lease and detection like a plain lease that
+// is renewed in the store every 2 s and held for 6 s.
 
 #include <algorithm>
 #include <cstdio>
