--- a/apps/chervilmux/queries.cc
+++ b/apps/chervilmux/queries.cc
@@ -100,10 +100,18 @@
   Json::Value parameters(Json::objectValue);
   parameters["service"] = service;
   parameters["key"] = key;
-  const auto answer = Call(instance.ToString(), "explain", parameters);
-  if (!answer) return 1;
-  for (const auto& name : answer->getMemberNames()) {
-    std::cout << name << ": " << kernel::PrintJson((*answer)[name]) << "\n";
+  // The primary of the key's cell knows best; others may know no row at all.
+  std::optional<Json::Value> best;
+  for (const auto& address : AllInstances(instance)) {
+    auto answer = Call(address, "explain", parameters);
+    if (!answer) continue;
+    const bool is_primary = (*answer)["role_here"].asString() == "primary";
+    if (!best || is_primary) best = std::move(answer);
+    if (is_primary) break;
+  }
+  if (!best) return 1;
+  for (const auto& name : best->getMemberNames()) {
+    std::cout << name << ": " << kernel::PrintJson((*best)[name]) << "\n";
   }
   return 0;
 }
--- a/src/ownership/cell_machine.h
+++ b/src/ownership/cell_machine.h
@@ -29,6 +29,7 @@
 #include <vector>
 
 #include "kernel/time.h"
+#include "ownership/cell_counters.h"
 #include "ownership/cell_events.h"
 #include "ownership/cell_timing.h"
 #include "ownership/exclusion_book.h"
@@ -38,31 +39,6 @@
 
 namespace chervilmux::ownership {
 
-/// How often each rule was used. Exposed as metrics; tests use them to see that
-/// a schedule reached what it was meant to reach.
-struct CellCounters {
-  std::uint64_t takeovers = 0;
-  std::uint64_t claims = 0;
-  std::uint64_t creations = 0;
-  std::uint64_t step_downs = 0;
-  std::uint64_t hand_overs = 0;
-  std::uint64_t owner_changes = 0;
-  std::uint64_t changes_ahead_of_store = 0;
-  std::uint64_t excluded_by_promise = 0;
-  std::uint64_t excluded_by_list = 0;
-  std::uint64_t excluded_by_budget = 0;
-  std::uint64_t standby_replacements = 0;
-  std::uint64_t servers_lost = 0;
-  std::uint64_t servers_joined = 0;
-  std::uint64_t grants_accepted = 0;
-  std::uint64_t grants_refused = 0;
-  std::uint64_t store_conflicts = 0;
-  std::uint64_t store_failures = 0;
-  std::uint64_t unknown_writes_resolved = 0;
-  std::uint64_t reconciliations = 0;
-  std::uint64_t regressions_refused = 0;
-};
-
 class CellMachine {
  public:
   enum class Role : std::uint8_t { kNone, kStandby, kLeader };
@@ -207,6 +183,9 @@
   CellCounters counters;
 };
 
+/// The name that status and logs show for `role`.
+std::string_view NameOfRole(CellMachine::Role role);
+
 }  // namespace chervilmux::ownership
 
 #endif  // CHERVILMUX_OWNERSHIP_CELL_MACHINE_H_
--- /dev/null
+++ b/src/ownership/control_cells.cc
@@ -0,0 +1,153 @@
+// The part of ControlTask that carries out what the cells' machines decide.
+
+#include <utility>
+
+#include "backend/server_protocol.h"
+#include "observe/log.h"
+#include "ownership/control_task.h"
+
+namespace chervilmux::ownership {
+namespace {
+
+using kernel::Instant;
+
+constexpr kernel::Duration kGrantTimeout = kernel::milliseconds(300);
+
+StoreReply ToStoreReply(std::uint64_t request,
+                        const platform::TableReply& reply) {
+  using From = platform::TableReply::Status;
+  using To = StoreReply::Status;
+  StoreReply result;
+  result.request = request;
+  result.revision = reply.revision;
+  const bool has_row =
+      reply.status == From::kValue || reply.status == From::kConflict;
+  if (has_row && !reply.value.empty()) {
+    auto row = DecodeRow(reply.value);
+    if (!row) return result;
+    result.row = std::move(row).value();
+  }
+  switch (reply.status) {
+    case From::kValue:
+      result.status = To::kRow;
+      break;
+    case From::kAbsent:
+      result.status = To::kAbsent;
+      break;
+    case From::kWritten:
+      result.status = To::kWritten;
+      break;
+    case From::kConflict:
+      result.status = result.row ? To::kConflict : To::kAbsent;
+      break;
+    case From::kFailed:
+      break;
+  }
+  return result;
+}
+
+}  // namespace
+
+void ControlTask::Perform(const std::string& name, Cell& cell,
+                          const Actions& actions) {
+  for (const auto& action : actions) {
+    std::visit([&](const auto& one) { this->Do(name, one); }, action);
+  }
+  this->NoteRole(name, cell);
+}
+
+void ControlTask::NoteRole(const std::string& name, Cell& cell) {
+  const CellMachine::Role role = cell.machine.CurrentRole();
+  if (role == cell.last_role) return;
+  cell.last_role = role;
+  this->heartbeat_now = true;
+  observe::LogInfo(
+      "cell_role",
+      {{"cell", name},
+       {"role", std::string(NameOfRole(role))},
+       {"term", std::to_string(cell.machine.Newest().version.term)}});
+}
+
+void ControlTask::Do(const std::string& name, const ReadRow& action) {
+  const std::uint64_t request = action.request;
+  this->platform->ReadRow(
+      platform::CellRowKey(name),
+      [this, name, request](const platform::TableReply& reply) {
+        this->OnTableReply(name, request, reply);
+      });
+}
+
+void ControlTask::Do(const std::string& name, const WriteRow& action) {
+  const std::uint64_t request = action.request;
+  this->platform->WriteRow(
+      platform::CellRowKey(name), EncodeRow(action.row),
+      action.expected_revision,
+      [this, name, request](const platform::TableReply& reply) {
+        this->OnTableReply(name, request, reply);
+      });
+}
+
+void ControlTask::OnTableReply(const std::string& name, std::uint64_t request,
+                               const platform::TableReply& reply) {
+  const auto found = this->cells.find(name);
+  if (found == this->cells.end()) return;
+  Actions actions;
+  found->second.machine.OnStore(ToStoreReply(request, reply), kernel::Now(),
+                                actions);
+  this->Perform(name, found->second, actions);
+}
+
+void ControlTask::Do(const std::string& name, const SendPeer& action) {
+  const net::Address to = this->peers.AddressOf(action.to.name);
+  if (to.Empty()) return;
+  membership::CellDatagram datagram;
+  datagram.cell = name;
+  datagram.reply_to = this->settings.peer_address;
+  datagram.message = action.message;
+  const std::string bytes = membership::Encode(datagram);
+  this->datagrams.Send(to, bytes);
+  this->bytes_sent += bytes.size();
+}
+
+void ControlTask::Do(const std::string& name, const SendGrant& action) {
+  const auto cell = this->cells.find(name);
+  const config::BackendServer* server =
+      this->ServerOf(cell->second.service, action.server);
+  if (server == nullptr) return;
+  const Instant ordered_at = kernel::Now();
+  net::TransferOptions options;
+  options.deadline = ordered_at + kGrantTimeout;
+  options.may_repeat = true;
+  const net::HttpRequest request =
+      backend::BuildGrant(server->address, name, action.order);
+  this->bytes_sent += request.body.size();
+  this->http.Start(
+      request, options,
+      [this, name, server_name = action.server, order = action.order,
+       ordered_at](const net::TransferResult& result) {
+        this->OnGrantResult(name, server_name, order, ordered_at, result);
+      });
+}
+
+void ControlTask::OnGrantResult(const std::string& name,
+                                const std::string& server,
+                                const GrantOrder& order, Instant ordered_at,
+                                const net::TransferResult& result) {
+  const auto found = this->cells.find(name);
+  if (found == this->cells.end()) return;
+  const auto reply =
+      backend::ParseGrantReply(server, order, ordered_at, result);
+  if (!reply) {
+    this->metrics.Count("chervilmux_grants_unanswered_total").Add();
+    return;
+  }
+  Actions actions;
+  CellMachine& machine = found->second.machine;
+  const bool was_moving = machine.Moving();
+  machine.OnGrant(*reply, kernel::Now(), actions);
+  // Servers that gain keys are told at once.
+  if (was_moving && !machine.Moving()) machine.OnTick(kernel::Now(), actions);
+  this->Perform(name, found->second, actions);
+}
+
+}  // namespace chervilmux::ownership
--- a/src/ownership/control_task.cc
+++ b/src/ownership/control_task.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "backend/server_protocol.h"
 #include "kernel/json.h"
 #include "observe/log.h"
 #include "routing/cell_id.h"
@@ -19,7 +18,6 @@
 constexpr kernel::Duration kMetricsPeriod = kernel::seconds(1);
 constexpr kernel::Duration kHeartbeatPeriod = kernel::milliseconds(500);
 constexpr kernel::Duration kPeerSuspectAfter = kernel::milliseconds(1750);
-constexpr kernel::Duration kGrantTimeout = kernel::milliseconds(300);
 constexpr kernel::Duration kPullTimeout = kernel::seconds(2);
 constexpr std::size_t kHeartbeatTargets = 12;
 constexpr std::size_t kIntroductions = 2;
@@ -28,51 +26,6 @@
 constexpr long kControlConnectionsPerServer = 2;
 constexpr std::size_t kMaxManifestBytes = 64U << 20U;
 
-std::string_view NameOf(CellMachine::Role role) {
-  switch (role) {
-    case CellMachine::Role::kLeader:
-      return "primary";
-    case CellMachine::Role::kStandby:
-      return "standby";
-    case CellMachine::Role::kNone:
-      return "none";
-  }
-  return "none";
-}
-
-StoreReply ToStoreReply(std::uint64_t request,
-                        const platform::TableReply& reply) {
-  using From = platform::TableReply::Status;
-  using To = StoreReply::Status;
-  StoreReply result;
-  result.request = request;
-  result.revision = reply.revision;
-  const bool has_row =
-      reply.status == From::kValue || reply.status == From::kConflict;
-  if (has_row && !reply.value.empty()) {
-    auto row = DecodeRow(reply.value);
-    if (!row) return result;
-    result.row = std::move(row).value();
-  }
-  switch (reply.status) {
-    case From::kValue:
-      result.status = To::kRow;
-      break;
-    case From::kAbsent:
-      result.status = To::kAbsent;
-      break;
-    case From::kWritten:
-      result.status = To::kWritten;
-      break;
-    case From::kConflict:
-      result.status = result.row ? To::kConflict : To::kAbsent;
-      break;
-    case From::kFailed:
-      break;
-  }
-  return result;
-}
-
 /// The body of a JSON-RPC call without parameters.
 std::string RpcBody(const char* method) {
   Json::Value call(Json::objectValue);
@@ -129,9 +82,9 @@
     status.manifest_revision = this->manifest.Revision();
     for (const auto& [name, cell] : this->cells) {
       const CellMachine& machine = cell.machine;
-      status.cells.push_back({name, std::string(NameOf(machine.CurrentRole())),
-                              machine.Newest(), machine.Serving().version,
-                              machine.Moving()});
+      status.cells.push_back(
+          {name, std::string(NameOfRole(machine.CurrentRole())),
+           machine.Newest(), machine.Serving().version, machine.Moving()});
     }
     for (const auto& [name, peer] : this->peers.Peers()) {
       status.peers.push_back(peer);
@@ -414,110 +367,6 @@
   return found == entry->servers.end() ? nullptr : &*found;
 }
 
-// --- Cells -------------------------------------------------------------------
-
-void ControlTask::Perform(const std::string& name, Cell& cell,
-                          const Actions& actions) {
-  for (const auto& action : actions) {
-    std::visit([&](const auto& one) { this->Do(name, one); }, action);
-  }
-  this->NoteRole(name, cell);
-}
-
-void ControlTask::NoteRole(const std::string& name, Cell& cell) {
-  const CellMachine::Role role = cell.machine.CurrentRole();
-  if (role == cell.last_role) return;
-  cell.last_role = role;
-  this->heartbeat_now = true;
-  observe::LogInfo(
-      "cell_role",
-      {{"cell", name},
-       {"role", std::string(NameOf(role))},
-       {"term", std::to_string(cell.machine.Newest().version.term)}});
-}
-
-void ControlTask::Do(const std::string& name, const ReadRow& action) {
-  const std::uint64_t request = action.request;
-  this->platform->ReadRow(
-      platform::CellRowKey(name),
-      [this, name, request](const platform::TableReply& reply) {
-        this->OnTableReply(name, request, reply);
-      });
-}
-
-void ControlTask::Do(const std::string& name, const WriteRow& action) {
-  const std::uint64_t request = action.request;
-  this->platform->WriteRow(
-      platform::CellRowKey(name), EncodeRow(action.row),
-      action.expected_revision,
-      [this, name, request](const platform::TableReply& reply) {
-        this->OnTableReply(name, request, reply);
-      });
-}
-
-void ControlTask::OnTableReply(const std::string& name, std::uint64_t request,
-                               const platform::TableReply& reply) {
-  const auto found = this->cells.find(name);
-  if (found == this->cells.end()) return;
-  Actions actions;
-  found->second.machine.OnStore(ToStoreReply(request, reply), kernel::Now(),
-                                actions);
-  this->Perform(name, found->second, actions);
-}
-
-void ControlTask::Do(const std::string& name, const SendPeer& action) {
-  const net::Address to = this->peers.AddressOf(action.to.name);
-  if (to.Empty()) return;
-  membership::CellDatagram datagram;
-  datagram.cell = name;
-  datagram.reply_to = this->settings.peer_address;
-  datagram.message = action.message;
-  const std::string bytes = membership::Encode(datagram);
-  this->datagrams.Send(to, bytes);
-  this->bytes_sent += bytes.size();
-}
-
-void ControlTask::Do(const std::string& name, const SendGrant& action) {
-  const auto cell = this->cells.find(name);
-  const config::BackendServer* server =
-      this->ServerOf(cell->second.service, action.server);
-  if (server == nullptr) return;
-  const Instant ordered_at = kernel::Now();
-  net::TransferOptions options;
-  options.deadline = ordered_at + kGrantTimeout;
-  options.may_repeat = true;
-  const net::HttpRequest request =
-      backend::BuildGrant(server->address, name, action.order);
-  this->bytes_sent += request.body.size();
-  this->http.Start(
-      request, options,
-      [this, name, server_name = action.server, order = action.order,
-       ordered_at](const net::TransferResult& result) {
-        this->OnGrantResult(name, server_name, order, ordered_at, result);
-      });
-}
-
-void ControlTask::OnGrantResult(const std::string& name,
-                                const std::string& server,
-                                const GrantOrder& order, Instant ordered_at,
-                                const net::TransferResult& result) {
-  const auto found = this->cells.find(name);
-  if (found == this->cells.end()) return;
-  const auto reply =
-      backend::ParseGrantReply(server, order, ordered_at, result);
-  if (!reply) {
-    this->metrics.Count("chervilmux_grants_unanswered_total").Add();
-    return;
-  }
-  Actions actions;
-  CellMachine& machine = found->second.machine;
-  const bool was_moving = machine.Moving();
-  machine.OnGrant(*reply, kernel::Now(), actions);
-  // Servers that gain keys are told at once.
-  if (was_moving && !machine.Moving()) machine.OnTick(kernel::Now(), actions);
-  this->Perform(name, found->second, actions);
-}
-
 // --- View and metrics --------------------------------------------------------
 
 routing::LedCellView ControlTask::ViewOf(Cell& cell) const {
@@ -575,61 +424,21 @@
 
 void ControlTask::PublishMetrics() {
   CellCounters sum;
-  const auto add = [&](const CellCounters& one) {
-    sum.takeovers += one.takeovers;
-    sum.claims += one.claims;
-    sum.creations += one.creations;
-    sum.step_downs += one.step_downs;
-    sum.hand_overs += one.hand_overs;
-    sum.owner_changes += one.owner_changes;
-    sum.changes_ahead_of_store += one.changes_ahead_of_store;
-    sum.excluded_by_promise += one.excluded_by_promise;
-    sum.excluded_by_list += one.excluded_by_list;
-    sum.excluded_by_budget += one.excluded_by_budget;
-    sum.standby_replacements += one.standby_replacements;
-    sum.servers_lost += one.servers_lost;
-    sum.servers_joined += one.servers_joined;
-    sum.grants_accepted += one.grants_accepted;
-    sum.grants_refused += one.grants_refused;
-    sum.store_conflicts += one.store_conflicts;
-    sum.store_failures += one.store_failures;
-    sum.unknown_writes_resolved += one.unknown_writes_resolved;
-    sum.reconciliations += one.reconciliations;
-    sum.regressions_refused += one.regressions_refused;
-  };
   std::uint64_t led = 0;
   for (const auto& [name, cell] : this->cells) {
-    add(cell.machine.Counters());
+    AddCounters(sum, cell.machine.Counters());
     if (cell.machine.CurrentRole() == CellMachine::Role::kLeader) led += 1;
   }
-  const std::pair<const char*, std::uint64_t> gauges[] = {
-      {"chervilmux_manifest_revision", this->manifest.Revision()},
-      {"chervilmux_cells_led", led},
-      {"chervilmux_control_bytes_sent_total", this->bytes_sent},
-      {"chervilmux_takeovers_total", sum.takeovers},
-      {"chervilmux_claims_total", sum.claims},
-      {"chervilmux_creations_total", sum.creations},
-      {"chervilmux_step_downs_total", sum.step_downs},
-      {"chervilmux_hand_overs_total", sum.hand_overs},
-      {"chervilmux_owner_changes_total", sum.owner_changes},
-      {"chervilmux_owner_changes_ahead_of_store_total",
-       sum.changes_ahead_of_store},
-      {"chervilmux_excluded_by_promise_total", sum.excluded_by_promise},
-      {"chervilmux_excluded_by_list_total", sum.excluded_by_list},
-      {"chervilmux_excluded_by_budget_total", sum.excluded_by_budget},
-      {"chervilmux_standby_replacements_total", sum.standby_replacements},
-      {"chervilmux_servers_lost_total", sum.servers_lost},
-      {"chervilmux_servers_joined_total", sum.servers_joined},
-      {"chervilmux_grants_accepted_total", sum.grants_accepted},
-      {"chervilmux_grants_refused_total", sum.grants_refused},
-      {"chervilmux_store_conflicts_total", sum.store_conflicts},
-      {"chervilmux_store_failures_total", sum.store_failures},
-      {"chervilmux_unknown_writes_resolved_total", sum.unknown_writes_resolved},
-      {"chervilmux_store_reconciliations_total", sum.reconciliations},
-      {"chervilmux_store_regressions_refused_total", sum.regressions_refused},
-  };
-  for (const auto& [name, value] : gauges) {
-    this->metrics.Count(name).SetTo(value);
+  this->metrics.Count("chervilmux_manifest_revision")
+      .SetTo(this->manifest.Revision());
+  this->metrics.Count("chervilmux_cells_led").SetTo(led);
+  this->metrics.Count("chervilmux_control_bytes_sent_total")
+      .SetTo(this->bytes_sent);
+  for (const auto& field : CellCounterFields()) {
+    std::string name = "chervilmux_cell_";
+    name += field.name;
+    name += "_total";
+    this->metrics.Count(name).SetTo(sum.*field.member);
   }
 }
 
--- a/src/ownership/row.cc
+++ b/src/ownership/row.cc
@@ -70,6 +70,17 @@
          OwningServers(*this) == OwningServers(other);
 }
 
+void AddFormer(CellRow& row, const InstanceId& instance) {
+  if (instance.Empty()) return;
+  const auto known = std::ranges::find(row.formers, instance);
+  if (known == row.formers.end()) row.formers.push_back(instance);
+}
+
+void DropPairFromFormers(CellRow& row) {
+  std::erase(row.formers, row.primary);
+  std::erase(row.formers, row.standby);
+}
+
 std::string EncodeRow(const CellRow& row) {
   Json::Value value(Json::objectValue);
   value["term"] = Json::UInt64{row.version.term};
--- a/src/ownership/row.h
+++ b/src/ownership/row.h
@@ -78,6 +78,13 @@
   bool SameOwners(const CellRow& other) const;
 };
 
+/// Adds `instance` to the formers of `row`, once.
+void AddFormer(CellRow& row, const InstanceId& instance);
+
+/// Takes the pair out of the formers: a primary knows its own grants, and a
+/// standby is cleared by its echo.
+void DropPairFromFormers(CellRow& row);
+
 /// Terms grow by one when the standby takes over and by this stride when a
 /// third instance claims the cell, so that the two can never choose the same.
 inline constexpr std::uint64_t kClaimTermStride = 1U << 16U;
--- /dev/null
+++ b/src/routing/router_relay.cc
@@ -0,0 +1,165 @@
+// The part of RouterTask that relays between instances.
+
+#include <utility>
+
+#include "routing/router_task.h"
+
+namespace chervilmux::routing {
+namespace {
+
+using kernel::ErrorKind;
+using kernel::Fail;
+using kernel::Instant;
+
+}  // namespace
+
+void RouterTask::Relay(Job& job, const membership::CellLeader& leader) {
+  auto& link = this->links[leader.peer_address];
+  if (link == 0) link = this->relay.Connect(leader.peer_address);
+  RelayRequest frame;
+  frame.id = ++this->last_id;
+  frame.request_id = job.request_id;
+  frame.service = job.service;
+  frame.cell = job.cell;
+  frame.key_hash = job.key_hash;
+  frame.remaining = job.deadline - kernel::Now();
+  frame.idempotent = job.idempotent;
+  frame.retried = job.retried;
+  frame.request = job.request;
+  if (!this->relay.Send(link, Encode(frame))) {
+    job.state = JobState::kBackoff;
+    this->FailAttempt(job, {ErrorKind::kPrimaryUnreachable, "link is full"});
+    return;
+  }
+  job.state = JobState::kRelayed;
+  job.link = link;
+  job.relay_id = frame.id;
+  job.relay_address = leader.peer_address;
+  job.relay_term = leader.term;
+  this->job_of_relay[frame.id] = job.id;
+  this->metrics.Count("chervilmux_relayed_total").Add();
+}
+
+void RouterTask::OnFrame(net::LinkId link, std::string_view bytes) {
+  auto decoded = Decode(bytes);
+  if (!decoded) {
+    this->metrics.CountError("chervilmux_messages_refused_total",
+                             decoded.error().kind);
+    this->relay.Close(link);
+    return;
+  }
+  RelayFrame frame = std::move(decoded).value();
+  if (auto* request = std::get_if<RelayRequest>(&frame)) {
+    this->OnRelayRequest(link, std::move(*request));
+  } else if (auto* reply = std::get_if<RelayReply>(&frame)) {
+    this->OnRelayReply(link, std::move(*reply));
+  } else {
+    this->OnRelayCancel(link, std::get<RelayCancel>(frame).id);
+  }
+}
+
+void RouterTask::OnRelayRequest(net::LinkId link, RelayRequest frame) {
+  const Instant now = kernel::Now();
+  auto owned = std::make_unique<Job>();
+  Job& job = *owned;
+  job.id = ++this->last_id;
+  job.request_id = frame.request_id;
+  job.request = std::move(frame.request);
+  job.service = std::move(frame.service);
+  job.cell = std::move(frame.cell);
+  job.key_hash = frame.key_hash;
+  job.arrived_at = now;
+  job.deadline = now + frame.remaining;
+  job.idempotent = frame.idempotent;
+  job.from_relay = true;
+  job.retried = frame.retried;
+  const std::uint64_t remote_id = frame.id;
+  const std::uint64_t id = job.id;
+  this->relayed_in[{link, remote_id}] = id;
+  job.reply = [this, link, remote_id,
+               request_id = std::move(frame.request_id)](Reply reply) {
+    this->relayed_in.erase({link, remote_id});
+    this->relay.Send(
+        link, Encode(RelayReply{remote_id, request_id, std::move(reply)}));
+  };
+  this->jobs.emplace(id, std::move(owned));
+  this->Route(job);
+}
+
+void RouterTask::OnRelayReply(net::LinkId link, RelayReply frame) {
+  // An attempt that was given up has left this table: its reply is late.
+  const auto relayed = this->job_of_relay.extract(frame.id);
+  Job* job = relayed ? this->Find(relayed.mapped()) : nullptr;
+  const bool expected = job != nullptr && job->state == JobState::kRelayed &&
+                        job->link == link &&
+                        job->request_id == frame.request_id;
+  if (!expected) {
+    this->metrics.Count("chervilmux_late_replies_total").Add();
+    return;
+  }
+  job->state = JobState::kBackoff;
+  if (frame.reply.answer) {
+    this->Finish(*job, std::move(frame.reply));
+    return;
+  }
+  this->FailAttempt(*job, frame.reply.answer.error());
+}
+
+void RouterTask::OnRelayCancel(net::LinkId link, std::uint64_t id) {
+  const auto found = this->relayed_in.find({link, id});
+  if (found == this->relayed_in.end()) return;
+  Job* job = this->Find(found->second);
+  if (job == nullptr) return;
+  this->Finish(*job, {Fail(ErrorKind::kCallerGone, "cancelled"), "", {}});
+}
+
+void RouterTask::OnLinkClosed(net::LinkId link, bool nothing_sent) {
+  std::erase_if(this->links,
+                [&](const auto& entry) { return entry.second == link; });
+  std::vector<std::uint64_t> lost;
+  for (const auto& [id, job] : this->jobs) {
+    if (job->state == JobState::kRelayed && job->link == link) {
+      lost.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : lost) {
+    Job* job = this->Find(id);
+    if (job == nullptr) continue;
+    this->job_of_relay.erase(job->relay_id);
+    job->state = JobState::kBackoff;
+    const ErrorKind kind =
+        nothing_sent ? ErrorKind::kPrimaryUnreachable : ErrorKind::kRelayLost;
+    this->FailAttempt(*job, {kind, "relay link closed"});
+  }
+}
+
+void RouterTask::CancelRelay(Job& job) {
+  this->job_of_relay.erase(job.relay_id);
+  this->relay.Send(job.link, Encode(RelayCancel{job.relay_id}));
+}
+
+void RouterTask::RerouteStaleRelays() {
+  // A newer leader is known: the old one will not answer idempotent requests
+  // any sooner than the new one.
+  std::vector<std::uint64_t> stale;
+  for (const auto& [id, job] : this->jobs) {
+    if (job->state != JobState::kRelayed || !job->idempotent) continue;
+    const auto leader = this->view->leaders.find(job->cell);
+    const bool led_here = this->Led(job->cell) != nullptr;
+    const bool newer = leader != this->view->leaders.end() &&
+                       leader->second.term > job->relay_term &&
+                       leader->second.peer_address != job->relay_address;
+    if (led_here || newer) stale.push_back(id);
+  }
+  for (const std::uint64_t id : stale) {
+    Job* job = this->Find(id);
+    if (job == nullptr) continue;
+    this->CancelRelay(*job);
+    job->state = JobState::kBackoff;
+    job->possibly_run = true;
+    this->metrics.Count("chervilmux_rerouted_total").Add();
+    this->Route(*job);
+  }
+}
+
+}  // namespace chervilmux::routing
