Read once more: one check for a settled pair, dead state removed

Cause: "no write of ours can still change the pair" stood twice in CellMachine, spelled out; RowWriter kept a last_ok that nothing read; router_task.cc kept two includes from before its split.

Ruled out: merging the owner checks of Admit and SendToServer.

Change: RowWriter::PairSettled(); last_ok, its reader and the includes are gone.

--- a/src/ownership/cell_machine.cc
+++ b/src/ownership/cell_machine.cc
@@ -139,7 +139,7 @@
   }
   // The store may yet make this instance primary under a higher term; until
   // that is settled it must promise nothing.
-  if (this->store.PairWriteOpen() || this->store.PairUncertain()) return;
+  if (!this->store.PairSettled()) return;
   // A repeated hand-over: nobody else can tell a leader of its own row.
   if (this->role == Role::kLeader && message.version == mine) return;
   if (message.row) this->AdoptRow(*message.row, message.serving, now);
@@ -169,7 +169,7 @@
 void CellMachine::OnStore(const StoreReply& reply, Instant now,
                           Actions& actions) {
   const bool was_down = this->store.Down();
-  const StoreFact fact = this->store.OnReply(reply, now);
+  const StoreFact fact = this->store.OnReply(reply);
   if (was_down && !this->store.Down()) this->counters.reconciliations += 1;
   switch (fact.kind) {
     case StoreFact::Kind::kNothing:
@@ -289,9 +289,7 @@
   const bool heir_listens =
       !this->Newest().standby.Empty() &&
       now < this->heard_standby_at + this->timing.suspect_after;
-  const bool settled =
-      !this->store.PairWriteOpen() && !this->store.PairUncertain();
-  if (this->stopping && heir_listens && settled) {
+  if (this->stopping && heir_listens && this->store.PairSettled()) {
     this->HandOver(now, actions);
     return;
   }
--- a/src/ownership/row_writer.cc
+++ b/src/ownership/row_writer.cc
@@ -56,7 +56,7 @@
   return true;
 }
 
-StoreFact RowWriter::OnReply(const StoreReply& reply, kernel::Instant now) {
+StoreFact RowWriter::OnReply(const StoreReply& reply) {
   if (reply.request != this->open_request || this->open_request == 0) return {};
   const kernel::Instant proof = this->last_attempt;
   if (reply.status == StoreReply::Status::kFailed) {
@@ -65,7 +65,6 @@
   }
   this->open_request = 0;
   this->down = false;
-  this->last_ok = now;
   if (reply.status == StoreReply::Status::kWritten) {
     CellRow row = std::move(*this->open_write);
     this->open_write.reset();
--- a/src/ownership/row_writer.h
+++ b/src/ownership/row_writer.h
@@ -68,11 +68,16 @@
     return this->open_write && this->open_changes_pair;
   }
 
-  StoreFact OnReply(const StoreReply& reply, kernel::Instant now);
+  StoreFact OnReply(const StoreReply& reply);
+
+  /// Whether no write of ours can change the pair any more: none awaits its
+  /// answer and none is uncertain.
+  bool PairSettled() const {
+    return !this->PairWriteOpen() && !this->PairUncertain();
+  }
 
   /// Version of the stored row, as far as known.
   RowVersion StoredVersion() const { return this->stored_version; }
-  kernel::Instant LastOk() const { return this->last_ok; }
   kernel::Instant LastAttempt() const { return this->last_attempt; }
 
   /// Whether the latest finished request failed.
@@ -91,7 +96,6 @@
   std::uint64_t open_request = 0;  ///< 0: none.
   kernel::Instant overdue_at = kernel::kNever;
   kernel::Instant last_attempt = kernel::kNever;
-  kernel::Instant last_ok = kernel::kNever;
   std::optional<CellRow> open_write;
   bool open_changes_pair = false;
   std::optional<std::uint64_t> uncertain_revision;
--- a/src/routing/router_task.cc
+++ b/src/routing/router_task.cc
@@ -4,8 +4,6 @@
 #include <random>
 #include <utility>
 
-#include "backend/server_protocol.h"
-#include "observe/log.h"
 #include "routing/cell_id.h"
 #include "routing/request_path.h"
 
