--- a/apps/entry/main.cc
+++ b/apps/entry/main.cc
@@ -11,12 +11,12 @@
 #include <thread>
 
 #include "caller/caller_front.h"
+#include "control/control_task.h"
 #include "entry_settings.h"
 #include "kernel/registry.h"
 #include "observe/log.h"
 #include "observe/metrics.h"
-#include "observe/operator_front.h"
-#include "ownership/control_task.h"
+#include "operators/operator_front.h"
 #include "routing/router_task.h"
 #include "store/http_platform.h"
 
@@ -53,7 +53,7 @@
         platform(this->control, settings.platform_address,
                  settings.platform_timeout) {
     this->registry.Add(routing::RouterTask::kServiceName, this->router);
-    this->registry.Add(ownership::ControlTask::kServiceName, this->control);
+    this->registry.Add(control::ControlTask::kServiceName, this->control);
     this->registry.Add<store::Platform>("platform", this->platform);
     this->control.SetPlatform(this->registry.Find<store::Platform>("platform"));
     this->control.OnView([this](std::shared_ptr<const routing::View> view) {
@@ -71,9 +71,9 @@
   int Run(const sigset_t& stop_signals) {
     caller::CallerFront callers(this->registry, this->settings.self.name,
                                 CallerOptions(this->settings));
-    observe::OperatorFront operators(this->registry,
-                                     this->settings.operator_address,
-                                     [] { kill(getpid(), SIGUSR1); });
+    operators::OperatorFront operators(this->registry,
+                                       this->settings.operator_address,
+                                       [] { kill(getpid(), SIGUSR1); });
     if (!this->Open(callers, operators)) return EXIT_FAILURE;
     observe::LogInfo("started", {{"version", CHERVILMUX_VERSION}});
     int signal = 0;
@@ -95,7 +95,7 @@
     return limits;
   }
 
-  static ownership::ControlSettings Control(const EntrySettings& settings) {
+  static control::ControlSettings Control(const EntrySettings& settings) {
     return {settings.self,         settings.failure_domain,
             settings.peer_address, settings.operator_address,
             settings.seeds,        settings.timing};
@@ -109,7 +109,7 @@
     return options;
   }
 
-  bool Open(caller::CallerFront& callers, observe::OperatorFront& operators) {
+  bool Open(caller::CallerFront& callers, operators::OperatorFront& operators) {
     const auto report = [](const char* what, const kernel::Result<void>& done) {
       if (done) return true;
       std::cerr << "chervilmux-entry: " << what << ": " << done.error().detail
@@ -154,7 +154,7 @@
   observe::Metrics metrics;
   bool registered;
   routing::RouterTask router;
-  ownership::ControlTask control;
+  control::ControlTask control;
   store::HttpPlatform platform;
 };
 
--- a/src/ownership/control_cells.cc
+++ b/src/control/control_cells.cc
@@ -3,26 +3,27 @@
 #include <utility>
 
 #include "backend/server_protocol.h"
+#include "control/control_task.h"
 #include "observe/log.h"
-#include "ownership/control_task.h"
 
-namespace chervilmux::ownership {
+namespace chervilmux::control {
 namespace {
 
 using kernel::Instant;
 
 constexpr kernel::Duration kGrantTimeout = kernel::milliseconds(300);
 
-StoreReply ToStoreReply(std::uint64_t request, const store::TableReply& reply) {
+ownership::StoreReply ToStoreReply(std::uint64_t request,
+                                   const store::TableReply& reply) {
   using From = store::TableReply::Status;
-  using To = StoreReply::Status;
-  StoreReply result;
+  using To = ownership::StoreReply::Status;
+  ownership::StoreReply result;
   result.request = request;
   result.revision = reply.revision;
   const bool has_row =
       reply.status == From::kValue || reply.status == From::kConflict;
   if (has_row && !reply.value.empty()) {
-    auto row = DecodeRow(reply.value);
+    auto row = ownership::DecodeRow(reply.value);
     if (!row) return result;
     result.row = std::move(row).value();
   }
@@ -48,7 +49,7 @@
 }  // namespace
 
 void ControlTask::Perform(const std::string& name, Cell& cell,
-                          const Actions& actions) {
+                          const ownership::Actions& actions) {
   for (const auto& action : actions) {
     std::visit([&](const auto& one) { this->Do(name, one); }, action);
   }
@@ -56,18 +57,19 @@
 }
 
 void ControlTask::NoteRole(const std::string& name, Cell& cell) {
-  const CellMachine::Role role = cell.machine.CurrentRole();
+  const ownership::CellMachine::Role role = cell.machine.CurrentRole();
   if (role == cell.last_role) return;
   cell.last_role = role;
   this->heartbeat_now = true;
   observe::LogInfo(
       "cell_role",
       {{"cell", name},
-       {"role", std::string(NameOfRole(role))},
+       {"role", std::string(ownership::NameOfRole(role))},
        {"term", std::to_string(cell.machine.Newest().version.term)}});
 }
 
-void ControlTask::Do(const std::string& name, const ReadRow& action) {
+void ControlTask::Do(const std::string& name,
+                     const ownership::ReadRow& action) {
   const std::uint64_t request = action.request;
   this->platform->ReadRow(
       store::CellRowKey(name),
@@ -76,10 +78,12 @@
       });
 }
 
-void ControlTask::Do(const std::string& name, const WriteRow& action) {
+void ControlTask::Do(const std::string& name,
+                     const ownership::WriteRow& action) {
   const std::uint64_t request = action.request;
   this->platform->WriteRow(
-      store::CellRowKey(name), EncodeRow(action.row), action.expected_revision,
+      store::CellRowKey(name), ownership::EncodeRow(action.row),
+      action.expected_revision,
       [this, name, request](const store::TableReply& reply) {
         this->OnTableReply(name, request, reply);
       });
@@ -89,13 +93,14 @@
                                const store::TableReply& reply) {
   const auto found = this->cells.find(name);
   if (found == this->cells.end()) return;
-  Actions actions;
+  ownership::Actions actions;
   found->second.machine.OnStore(ToStoreReply(request, reply), kernel::Now(),
                                 actions);
   this->Perform(name, found->second, actions);
 }
 
-void ControlTask::Do(const std::string& name, const SendPeer& action) {
+void ControlTask::Do(const std::string& name,
+                     const ownership::SendPeer& action) {
   const net::Address to = this->peers.AddressOf(action.to.name);
   if (to.Empty()) return;
   membership::CellDatagram datagram;
@@ -107,7 +112,8 @@
   this->bytes_sent += bytes.size();
 }
 
-void ControlTask::Do(const std::string& name, const SendGrant& action) {
+void ControlTask::Do(const std::string& name,
+                     const ownership::SendGrant& action) {
   const auto cell = this->cells.find(name);
   const config::BackendServer* server =
       this->ServerOf(cell->second.service, action.server);
@@ -129,7 +135,8 @@
 
 void ControlTask::OnGrantResult(const std::string& name,
                                 const std::string& server,
-                                const GrantOrder& order, Instant ordered_at,
+                                const ownership::GrantOrder& order,
+                                Instant ordered_at,
                                 const net::TransferResult& result) {
   const auto found = this->cells.find(name);
   if (found == this->cells.end()) return;
@@ -139,8 +146,8 @@
     this->metrics.Count("chervilmux_grants_unanswered_total").Add();
     return;
   }
-  Actions actions;
-  CellMachine& machine = found->second.machine;
+  ownership::Actions actions;
+  ownership::CellMachine& machine = found->second.machine;
   const bool was_moving = machine.Moving();
   machine.OnGrant(*reply, kernel::Now(), actions);
   // Servers that gain keys are told at once.
@@ -148,4 +155,4 @@
   this->Perform(name, found->second, actions);
 }
 
-}  // namespace chervilmux::ownership
+}  // namespace chervilmux::control
--- a/src/ownership/control_task.cc
+++ b/src/control/control_task.cc
@@ -1,4 +1,4 @@
-#include "ownership/control_task.h"
+#include "control/control_task.h"
 
 #include <algorithm>
 #include <utility>
@@ -7,7 +7,7 @@
 #include "observe/log.h"
 #include "routing/cell_id.h"
 
-namespace chervilmux::ownership {
+namespace chervilmux::control {
 namespace {
 
 using kernel::Instant;
@@ -64,13 +64,13 @@
 
 // --- Messages ----------------------------------------------------------------
 
-void ControlTask::NoteMoving(std::string cell, RowVersion version,
+void ControlTask::NoteMoving(std::string cell, ownership::RowVersion version,
                              std::string server, std::size_t count) {
   this->Post([this, cell = std::move(cell), version, server = std::move(server),
               count] {
     const auto found = this->cells.find(cell);
     if (found == this->cells.end()) return;
-    CellMachine& machine = found->second.machine;
+    ownership::CellMachine& machine = found->second.machine;
     if (machine.Newest().version != version) return;
     machine.OnMovingInFlight(server, count);
   });
@@ -81,9 +81,9 @@
     ControlStatus status;
     status.manifest_revision = this->manifest.Revision();
     for (const auto& [name, cell] : this->cells) {
-      const CellMachine& machine = cell.machine;
+      const ownership::CellMachine& machine = cell.machine;
       status.cells.push_back(
-          {name, std::string(NameOfRole(machine.CurrentRole())),
+          {name, std::string(ownership::NameOfRole(machine.CurrentRole())),
            machine.Newest(), machine.Serving().version, machine.Moving()});
     }
     for (const auto& [name, peer] : this->peers.Peers()) {
@@ -116,7 +116,7 @@
   const Instant now = kernel::Now();
   for (auto& [name, cell] : this->cells) {
     cell.machine.OnNeighbourhood(this->peers.NeighbourhoodOf(name, now), now);
-    Actions actions;
+    ownership::Actions actions;
     cell.machine.OnTick(now, actions);
     this->Perform(name, cell, actions);
   }
@@ -129,7 +129,8 @@
 void ControlTask::ConsiderStop(Instant now) {
   if (!this->stopping || !this->stop_done) return;
   const bool leads = std::ranges::any_of(this->cells, [](const auto& entry) {
-    return entry.second.machine.CurrentRole() == CellMachine::Role::kLeader;
+    return entry.second.machine.CurrentRole() ==
+           ownership::CellMachine::Role::kLeader;
   });
   if (leads && now < this->stop_give_up_at) return;
   const auto done = std::exchange(this->stop_done, nullptr);
@@ -190,7 +191,8 @@
   heartbeat.stopping = this->stopping;
   heartbeat.introductions = this->peers.Introductions(kIntroductions);
   for (const auto& [name, cell] : this->cells) {
-    if (cell.machine.CurrentRole() != CellMachine::Role::kLeader) continue;
+    if (cell.machine.CurrentRole() != ownership::CellMachine::Role::kLeader)
+      continue;
     heartbeat.leads.push_back({name, cell.machine.Newest().version.term});
   }
   return heartbeat;
@@ -235,7 +237,7 @@
   const auto& datagram = std::get<membership::CellDatagram>(decoded.value());
   const auto found = this->cells.find(datagram.cell);
   if (found == this->cells.end()) return;
-  Actions actions;
+  ownership::Actions actions;
   found->second.machine.OnPeer(datagram.message, now, actions);
   this->Perform(found->first, found->second, actions);
 }
@@ -321,7 +323,7 @@
     const std::string name =
         routing::CellName(service.name, this->settings.failure_domain);
     if (!this->cells.contains(name)) {
-      CellTiming timing = this->settings.timing;
+      ownership::CellTiming timing = this->settings.timing;
       timing.isolation_budget = service.isolation_budget;
       timing.max_request = service.max_timeout;
       auto& cell = this->cells.try_emplace(name, this->settings.self, timing)
@@ -336,7 +338,7 @@
 void ControlTask::UpdateDesired(const std::string& name, Cell& cell) {
   const auto current = this->manifest.Current();
   const config::Service* service = current->manifest.Find(cell.service);
-  std::vector<DesiredServer> desired;
+  std::vector<ownership::DesiredServer> desired;
   std::map<std::uint64_t, std::string> overrides;
   if (service != nullptr) {
     for (const auto& server : service->servers) {
@@ -347,7 +349,7 @@
       desired.push_back({server.name, server.weight, leaving});
     }
     for (const auto& [key, server] : service->pinned_keys) {
-      const std::uint64_t hash = HashKey(key);
+      const std::uint64_t hash = ownership::HashKey(key);
       if (routing::CellOf(hash, *service) == name) overrides[hash] = server;
     }
   }
@@ -369,16 +371,16 @@
 // --- View and metrics --------------------------------------------------------
 
 routing::LedCellView ControlTask::ViewOf(Cell& cell) const {
-  const CellMachine& machine = cell.machine;
+  const ownership::CellMachine& machine = cell.machine;
   routing::LedCellView led;
   led.version = machine.Newest().version;
   led.serving_version = machine.Serving().version;
   if (!cell.serving || cell.placed_serving != led.serving_version) {
-    cell.serving = std::make_shared<Placement>(machine.Serving());
+    cell.serving = std::make_shared<ownership::Placement>(machine.Serving());
     cell.placed_serving = led.serving_version;
   }
   if (machine.Moving() && (!cell.next || cell.placed_next != led.version)) {
-    cell.next = std::make_shared<Placement>(machine.Newest());
+    cell.next = std::make_shared<ownership::Placement>(machine.Newest());
     cell.placed_next = led.version;
   }
   led.serving = cell.serving;
@@ -392,8 +394,8 @@
     server.slots = known->slots;
     server.send_until = machine.SendUntil(entry.name);
     server.token = machine.TokenFor(entry.name);
-    server.in = entry.state == ServerState::kIn;
-    server.lost = entry.state == ServerState::kOut;
+    server.in = entry.state == ownership::ServerState::kIn;
+    server.lost = entry.state == ownership::ServerState::kOut;
     led.servers.emplace(entry.name, std::move(server));
   }
   return led;
@@ -405,7 +407,8 @@
   const Instant now = kernel::Now();
   view->manifest = this->manifest.Current();
   for (auto& [name, cell] : this->cells) {
-    if (cell.machine.CurrentRole() != CellMachine::Role::kLeader) continue;
+    if (cell.machine.CurrentRole() != ownership::CellMachine::Role::kLeader)
+      continue;
     view->led.emplace(name, this->ViewOf(cell));
   }
   if (view->manifest) {
@@ -422,18 +425,19 @@
 }
 
 void ControlTask::PublishMetrics() {
-  CellCounters sum;
+  ownership::CellCounters sum;
   std::uint64_t led = 0;
   for (const auto& [name, cell] : this->cells) {
-    AddCounters(sum, cell.machine.Counters());
-    if (cell.machine.CurrentRole() == CellMachine::Role::kLeader) led += 1;
+    ownership::AddCounters(sum, cell.machine.Counters());
+    if (cell.machine.CurrentRole() == ownership::CellMachine::Role::kLeader)
+      led += 1;
   }
   this->metrics.Count("chervilmux_manifest_revision")
       .SetTo(this->manifest.Revision());
   this->metrics.Count("chervilmux_cells_led").SetTo(led);
   this->metrics.Count("chervilmux_control_bytes_sent_total")
       .SetTo(this->bytes_sent);
-  for (const auto& field : CellCounterFields()) {
+  for (const auto& field : ownership::CellCounterFields()) {
     std::string name = "chervilmux_cell_";
     name += field.name;
     name += "_total";
@@ -441,4 +445,4 @@
   }
 }
 
-}  // namespace chervilmux::ownership
+}  // namespace chervilmux::control
--- a/src/ownership/control_task.h
+++ b/src/control/control_task.h
@@ -5,8 +5,8 @@
 /// It runs on a thread of its own, so that a busy data path cannot delay a
 /// renewal. Everything the data path needs reaches it as routing::View.
 
-#ifndef CHERVILMUX_OWNERSHIP_CONTROL_TASK_H_
-#define CHERVILMUX_OWNERSHIP_CONTROL_TASK_H_
+#ifndef CHERVILMUX_CONTROL_CONTROL_TASK_H_
+#define CHERVILMUX_CONTROL_CONTROL_TASK_H_
 
 #include <cstdint>
 #include <functional>
@@ -29,23 +29,23 @@
 #include "routing/view.h"
 #include "store/platform.h"
 
-namespace chervilmux::ownership {
+namespace chervilmux::control {
 
 struct ControlSettings {
-  InstanceId self;
+  ownership::InstanceId self;
   std::string failure_domain;
   net::Address peer_address;
   net::Address operator_address;
   std::vector<net::Address> seeds;  ///< Peer addresses to try at the start.
-  CellTiming timing;
+  ownership::CellTiming timing;
 };
 
 /// One cell as `status` shows it.
 struct CellStatus {
   std::string cell;
   std::string role;
-  CellRow row;
-  RowVersion serving_version;
+  ownership::CellRow row;
+  ownership::RowVersion serving_version;
   bool moving = false;
 };
 
@@ -74,8 +74,8 @@
   }
 
   // --- Messages; safe from any thread.
-  void NoteMoving(std::string cell, RowVersion version, std::string server,
-                  std::size_t count);
+  void NoteMoving(std::string cell, ownership::RowVersion version,
+                  std::string server, std::size_t count);
   void AskStatus(std::function<void(ControlStatus)> done);
   /// Calls `done` with the text of the manifest in force.
   void AskManifest(std::function<void(std::string)> done);
@@ -85,15 +85,16 @@
 
  private:
   struct Cell {
-    Cell(const InstanceId& self, const CellTiming& timing)
+    Cell(const ownership::InstanceId& self, const ownership::CellTiming& timing)
         : machine(self, timing) {}
     std::string service;
-    CellMachine machine;
-    RowVersion placed_serving;
-    RowVersion placed_next;
-    std::shared_ptr<const Placement> serving;
-    std::shared_ptr<const Placement> next;
-    CellMachine::Role last_role = CellMachine::Role::kNone;
+    ownership::CellMachine machine;
+    ownership::RowVersion placed_serving;
+    ownership::RowVersion placed_next;
+    std::shared_ptr<const ownership::Placement> serving;
+    std::shared_ptr<const ownership::Placement> next;
+    ownership::CellMachine::Role last_role =
+        ownership::CellMachine::Role::kNone;
     bool was_in_pair = false;
   };
 
@@ -115,15 +116,17 @@
   void UpdateDesired(const std::string& name, Cell& cell);
 
   // Cells.
-  void Perform(const std::string& name, Cell& cell, const Actions& actions);
-  void Do(const std::string& name, const ReadRow& action);
-  void Do(const std::string& name, const WriteRow& action);
-  void Do(const std::string& name, const SendPeer& action);
-  void Do(const std::string& name, const SendGrant& action);
+  void Perform(const std::string& name, Cell& cell,
+               const ownership::Actions& actions);
+  void Do(const std::string& name, const ownership::ReadRow& action);
+  void Do(const std::string& name, const ownership::WriteRow& action);
+  void Do(const std::string& name, const ownership::SendPeer& action);
+  void Do(const std::string& name, const ownership::SendGrant& action);
   void OnTableReply(const std::string& name, std::uint64_t request,
                     const store::TableReply& reply);
   void OnGrantResult(const std::string& name, const std::string& server,
-                     const GrantOrder& order, kernel::Instant ordered_at,
+                     const ownership::GrantOrder& order,
+                     kernel::Instant ordered_at,
                      const net::TransferResult& result);
   void NoteRole(const std::string& name, Cell& cell);
 
@@ -156,6 +159,6 @@
   std::uint64_t bytes_sent = 0;
 };
 
-}  // namespace chervilmux::ownership
+}  // namespace chervilmux::control
 
-#endif  // CHERVILMUX_OWNERSHIP_CONTROL_TASK_H_
+#endif  // CHERVILMUX_CONTROL_CONTROL_TASK_H_
--- a/src/observe/operator_front.cc
+++ b/src/operators/operator_front.cc
@@ -1,4 +1,4 @@
-#include "observe/operator_front.h"
+#include "operators/operator_front.h"
 
 #include <jsonrpccpp/server.h>
 #include <jsonrpccpp/server/abstractserverconnector.h>
@@ -9,13 +9,13 @@
 #include <string>
 #include <utility>
 
+#include "control/control_task.h"
 #include "kernel/json.h"
 #include "observe/metrics.h"
-#include "ownership/control_task.h"
 #include "routing/cell_id.h"
 #include "routing/router_task.h"
 
-namespace chervilmux::observe {
+namespace chervilmux::operators {
 namespace {
 
 constexpr std::chrono::seconds kTaskTimeout(2);
@@ -33,7 +33,7 @@
   return future.get();
 }
 
-Json::Value ToJson(const ownership::CellStatus& cell) {
+Json::Value ToJson(const control::CellStatus& cell) {
   Json::Value value(Json::objectValue);
   value["cell"] = cell.cell;
   value["role"] = cell.role;
@@ -75,8 +75,8 @@
   Rpc(Connector& connector, const kernel::Registry& registry,
       std::function<void()> drain)
       : AbstractServer(connector),
-        control(registry.Find<ownership::ControlTask>(
-            ownership::ControlTask::kServiceName)),
+        control(registry.Find<control::ControlTask>(
+            control::ControlTask::kServiceName)),
         router(registry.Find<routing::RouterTask>(
             routing::RouterTask::kServiceName)),
         drain(std::move(drain)) {
@@ -174,8 +174,8 @@
   }
 
  private:
-  ownership::ControlStatus ReadStatus() {
-    return AskTask<ownership::ControlStatus>(
+  control::ControlStatus ReadStatus() {
+    return AskTask<control::ControlStatus>(
         [this](auto done) { this->control.AskStatus(std::move(done)); });
   }
 
@@ -192,7 +192,7 @@
     return keeper.Current();
   }
 
-  void ExplainOwner(const ownership::CellStatus& cell, std::uint64_t hash,
+  void ExplainOwner(const control::CellStatus& cell, std::uint64_t hash,
                     Json::Value& response) {
     const ownership::Placement placement(cell.row);
     response["owner"] = std::string(placement.OwnerOf(hash));
@@ -206,7 +206,7 @@
     response["role_here"] = cell.role;
   }
 
-  ownership::ControlTask& control;
+  control::ControlTask& control;
   routing::RouterTask& router;
   std::function<void()> drain;
 };
@@ -232,7 +232,8 @@
                               const net::Responder& respond) {
   const std::string& url = request.request.url;
   if (url == "/metrics") {
-    const std::string text = this->registry.Find<Metrics>("metrics").Print();
+    const std::string text =
+        this->registry.Find<observe::Metrics>("metrics").Print();
     respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, text});
     return;
   }
@@ -250,4 +251,4 @@
            "known paths: /metrics, /health, /rpc\n"});
 }
 
-}  // namespace chervilmux::observe
+}  // namespace chervilmux::operators
--- a/src/observe/operator_front.h
+++ b/src/operators/operator_front.h
@@ -2,8 +2,8 @@
 /// Defines the operators' side of an entry instance: metrics for scrapers and
 /// JSON-RPC calls for `chervilmux` and for other instances.
 
-#ifndef CHERVILMUX_OBSERVE_OPERATOR_FRONT_H_
-#define CHERVILMUX_OBSERVE_OPERATOR_FRONT_H_
+#ifndef CHERVILMUX_OPERATORS_OPERATOR_FRONT_H_
+#define CHERVILMUX_OPERATORS_OPERATOR_FRONT_H_
 
 #include <functional>
 #include <memory>
@@ -11,7 +11,7 @@
 #include "kernel/registry.h"
 #include "net/http_server.h"
 
-namespace chervilmux::observe {
+namespace chervilmux::operators {
 
 /// Serves GET /metrics, GET /health and POST /rpc with the methods `status`,
 /// `explain`, `names`, `manifest` and `drain`.
@@ -39,6 +39,6 @@
   net::HttpServer server;
 };
 
-}  // namespace chervilmux::observe
+}  // namespace chervilmux::operators
 
-#endif  // CHERVILMUX_OBSERVE_OPERATOR_FRONT_H_
+#endif  // CHERVILMUX_OPERATORS_OPERATOR_FRONT_H_
