chervilmux-entry refuses requests with two readings, and notices callers that leave

Cause: callers' requests were read by libmicrohttpd, which took four forms of smuggled requests (length with transfer encoding, two lengths, a folded header that hid a length, control characters in the method): a hidden second request reached a server each time. It also does not tell that a caller closed its connection. Ruled out: checking after libmicrohttpd has parsed (what it took for the end of the request is gone by then). Change: CallerFront reads by net/HttpFront, the strict reader that chervilmux-node uses, on a task of its own; the router is told of callers that left and gives their requests up unless a server works on one that must not be repeated. HttpServer (operators' front, stand-ins) loses what only the callers' side used.

--- a/apps/entry/main.cc
+++ b/apps/entry/main.cc
@@ -23,7 +23,6 @@
 namespace chervilmux::entry {
 namespace {
 
-constexpr unsigned kCallerThreads = 2;
 /// Callers on open connections may have sent a request that has not been read
 /// yet: this long it is still accepted after the listening socket has closed.
 constexpr kernel::Duration kLingerAfterQuiesce = kernel::milliseconds(300);
@@ -101,11 +100,11 @@
             settings.seeds,        settings.timing};
   }
 
-  static net::HttpServerOptions CallerOptions(const EntrySettings& settings) {
-    net::HttpServerOptions options;
+  static caller::CallerFrontOptions CallerOptions(
+      const EntrySettings& settings) {
+    caller::CallerFrontOptions options;
     options.address = settings.caller_address;
     options.max_body_bytes = settings.max_body_bytes;
-    options.threads = kCallerThreads;
     return options;
   }
 
@@ -133,6 +132,7 @@
     const kernel::Instant give_up = kernel::Now() + this->settings.stop_timeout;
     std::promise<void> handed_over;
     this->control.BeginStop(give_up, [&] { handed_over.set_value(); });
+    callers.CloseAfterAnswers();
     std::this_thread::sleep_for(kAnnounceStop);
     callers.Quiesce();
     handed_over.get_future().wait();
--- a/src/caller/caller_front.h
+++ b/src/caller/caller_front.h
@@ -5,13 +5,14 @@
 #ifndef CHERVILMUX_CALLER_CALLER_FRONT_H_
 #define CHERVILMUX_CALLER_CALLER_FRONT_H_
 
-#include <atomic>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 
 #include "kernel/registry.h"
-#include "net/http_server.h"
+#include "kernel/task.h"
+#include "net/http_front.h"
 #include "observe/metrics.h"
 #include "routing/router_task.h"
 
@@ -25,24 +26,48 @@
 inline constexpr std::string_view kServerHeader = "X-Served-By";
 inline constexpr std::string_view kEpochHeader = "X-Ownership-Epoch";
 
+struct CallerFrontOptions {
+  net::Address address;
+  std::size_t max_body_bytes = 1U << 20U;
+};
+
+/// Reads callers' requests on a task of its own and hands them to the router.
 class CallerFront {
  public:
+  /// Finds the router and "metrics" in the registry.
   CallerFront(const kernel::Registry& registry, std::string instance,
-              const net::HttpServerOptions& options);
+              CallerFrontOptions options);
+
+  /// Starts to listen. Errors: kSettingInvalid when the address is taken.
+  kernel::Result<void> Start();
+
+  /// From now on answers ask callers to close. Safe from any thread.
+  void CloseAfterAnswers();
+
+  /// Accepts no further connection and closes idle ones. Safe from any thread.
+  void Quiesce();
 
-  kernel::Result<void> Start() { return this->server.Start(); }
-  void Quiesce() { this->server.Quiesce(); }
-  void Stop() { this->server.Stop(); }
+  /// Ends everything. Answers that come later reach nobody.
+  void Stop() { this->task.Stop(); }
 
  private:
-  void OnRequest(net::ServerRequest request, net::Responder respond);
+  void OnRequest(const net::RequestRef& ref, net::HttpRequest request);
+  void OnGone(const net::RequestRef& ref);
+  void Answer(const net::RequestRef& ref, net::HttpAnswer answer);
+  net::HttpAnswer Refuse(const kernel::Error& error,
+                         const std::string& request_id);
+  void OnReply(const net::RequestRef& ref, const std::string& request_id,
+               routing::Reply reply);
   std::string NextRequestId();
 
   routing::RouterTask& router;
   observe::Metrics& metrics;
   std::string id_prefix;
-  std::atomic<std::uint64_t> last_id = 0;
-  net::HttpServer server;
+  CallerFrontOptions options;
+  std::uint64_t last_id = 0;
+  std::map<net::RequestRef, std::string> open;  ///< Ids of what is pending.
+  kernel::ReactorTask task;
+  net::HttpFront front;
 };
 
 /// The HTTP answer that tells a caller of `reply`.
--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -318,7 +318,8 @@
   }
 
   bool Open(const Address& address) {
-    if (this->socket.open(address.ToAce(), 1, PF_INET, kListenBacklog) != 0) {
+    const ACE_INET_Addr local = address.ToAce();
+    if (this->socket.open(local, 1, local.get_type(), kListenBacklog) != 0) {
       return false;
     }
     this->socket.enable(ACE_NONBLOCK);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,9 +1,7 @@
 #include "net/http_server.h"
 
 #include <microhttpd.h>
-#include <unistd.h>
 
-#include <atomic>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -17,7 +15,8 @@
 struct Exchange {
   std::mutex mutex;
   MHD_Connection* connection = nullptr;
-  ServerRequest request;
+  HttpRequest request;
+  bool body_too_large = false;
   bool handed_over = false;
   bool suspended = false;
   std::optional<HttpAnswer> answer;
@@ -75,13 +74,6 @@
     return this->daemon != nullptr;
   }
 
-  void Quiesce() {
-    this->quiet = true;
-    if (this->daemon == nullptr) return;
-    const MHD_socket listener = MHD_quiesce_daemon(this->daemon);
-    if (listener != MHD_INVALID_SOCKET) close(listener);
-  }
-
   void Stop() {
     if (this->daemon == nullptr) return;
     MHD_stop_daemon(this->daemon);
@@ -95,7 +87,7 @@
                         MHD_Connection* connection) {
     auto exchange = std::make_shared<Exchange>();
     exchange->connection = connection;
-    exchange->request.request.url = target;
+    exchange->request.url = target;
     return new SharedExchange(std::move(exchange));
   }
 
@@ -105,33 +97,35 @@
                               std::size_t* size, void** context) {
     auto* impl = static_cast<Impl*>(user);
     const auto& exchange = *static_cast<SharedExchange*>(*context);
-    HttpRequest& request = exchange->request.request;
+    HttpRequest& request = exchange->request;
     if (request.method.empty()) {
       request.method = method;
-      exchange->request.arrived_at = kernel::Now();
       MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectHeader,
                                 &request.headers);
       return MHD_YES;
     }
     if (*size > 0) {
-      impl->TakeBody(exchange->request, {data, *size});
+      impl->TakeBody(*exchange, {data, *size});
       *size = 0;
       return MHD_YES;
     }
     return impl->Continue(connection, exchange);
   }
 
-  void TakeBody(ServerRequest& request, std::string_view data) const {
-    std::string& body = request.request.body;
+  void TakeBody(Exchange& exchange, std::string_view data) const {
+    std::string& body = exchange.request.body;
     if (body.size() + data.size() > this->options.max_body_bytes) {
-      request.body_too_large = true;
+      exchange.body_too_large = true;
       body.clear();
     }
-    if (!request.body_too_large) body += data;
+    if (!exchange.body_too_large) body += data;
   }
 
   MHD_Result Continue(MHD_Connection* connection,
                       const SharedExchange& exchange) {
+    if (exchange->body_too_large) {
+      return this->Queue(connection, {MHD_HTTP_CONTENT_TOO_LARGE, {}, ""});
+    }
     if (!exchange->handed_over) {
       exchange->handed_over = true;
       this->handler(std::move(exchange->request),
@@ -157,7 +151,6 @@
       MHD_add_response_header(response, header.name.c_str(),
                               header.value.c_str());
     }
-    if (this->quiet) MHD_add_response_header(response, "Connection", "close");
     const MHD_Result result =
         MHD_queue_response(connection, answer.status, response);
     MHD_destroy_response(response);
@@ -179,7 +172,6 @@
   HttpServerOptions options;
   RequestHandler handler;
   MHD_Daemon* daemon = nullptr;
-  std::atomic<bool> quiet = false;
 };
 
 HttpServer::HttpServer(HttpServerOptions options, RequestHandler handler)
@@ -193,8 +185,6 @@
                       "cannot listen on the given TCP address");
 }
 
-void HttpServer::Quiesce() { this->impl->Quiesce(); }
-
 void HttpServer::Stop() { this->impl->Stop(); }
 
 }  // namespace chervilmux::net
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -20,14 +20,10 @@
 /// request, and only the first answer counts.
 using Responder = std::function<void(HttpAnswer)>;
 
-struct ServerRequest {
-  HttpRequest request;          ///< `url` is the raw target, query included.
-  bool body_too_large = false;  ///< The body was dropped.
-  kernel::Instant arrived_at;   ///< When the whole head had arrived.
-};
-
-/// Called on a server thread once the whole request has arrived.
-using RequestHandler = std::function<void(ServerRequest, Responder)>;
+/// Called on a server thread once the whole request has arrived; its `url` is
+/// the raw target, query included. A request with too large a body is answered
+/// 413 and not handed over.
+using RequestHandler = std::function<void(HttpRequest, Responder)>;
 
 struct HttpServerOptions {
   Address address;
@@ -47,10 +43,6 @@
   /// Starts to listen. Errors: kSettingInvalid when the address is taken.
   kernel::Result<void> Start();
 
-  /// Accepts no further connection. Open ones go on; each answer from now on
-  /// asks its caller to close.
-  void Quiesce();
-
   /// Ends everything. Requests without an answer must be gone by then.
   void Stop();
 
--- a/src/operators/operator_front.cc
+++ b/src/operators/operator_front.cc
@@ -217,7 +217,7 @@
     : registry(registry),
       connector(std::make_unique<Connector>()),
       rpc(std::make_unique<Rpc>(*this->connector, registry, std::move(drain))),
-      server({.address = address}, [this](const net::ServerRequest& request,
+      server({.address = address}, [this](const net::HttpRequest& request,
                                           const net::Responder& respond) {
         this->OnRequest(request, respond);
       }) {}
@@ -228,9 +228,9 @@
 
 void OperatorFront::Stop() { this->server.Stop(); }
 
-void OperatorFront::OnRequest(const net::ServerRequest& request,
+void OperatorFront::OnRequest(const net::HttpRequest& request,
                               const net::Responder& respond) {
-  const std::string& url = request.request.url;
+  const std::string& url = request.url;
   if (url == "/metrics") {
     const std::string text =
         this->registry.Find<observe::Metrics>("metrics").Print();
@@ -241,8 +241,8 @@
     respond({200, {{"Content-Type", "text/plain"}}, "ok\n"});
     return;
   }
-  if (url == "/rpc" && request.request.method == "POST") {
-    const std::string response = this->connector->Handle(request.request.body);
+  if (url == "/rpc" && request.method == "POST") {
+    const std::string response = this->connector->Handle(request.body);
     respond({200, {{"Content-Type", "application/json"}}, response});
     return;
   }
--- a/src/operators/operator_front.h
+++ b/src/operators/operator_front.h
@@ -30,7 +30,7 @@
  private:
   class Connector;
   class Rpc;
-  void OnRequest(const net::ServerRequest& request,
+  void OnRequest(const net::HttpRequest& request,
                  const net::Responder& respond);
 
   const kernel::Registry& registry;
--- a/src/routing/router_task.cc
+++ b/src/routing/router_task.cc
@@ -91,6 +91,10 @@
     const auto found = this->job_of_request.find(request_id);
     if (found == this->job_of_request.end()) return;
     Job* job = this->Find(found->second);
+    const bool with_server =
+        job->state == JobState::kSent || job->state == JobState::kRelayed;
+    // Work that must not be repeated is not cut off halfway.
+    if (with_server && !job->idempotent) return;
     this->Finish(*job, {Fail(ErrorKind::kCallerGone, "caller gone"), "", {}});
   });
 }
--- a/src/routing/router_task.h
+++ b/src/routing/router_task.h
@@ -71,6 +71,8 @@
 
   // --- Messages; safe from any thread.
   void Submit(CallerRequest request);
+  /// The caller has left. Its request is given up unless a server may be at
+  /// work on it that must not be cut off.
   void CallerGone(std::string request_id);
   void SetView(std::shared_ptr<const View> view);
   /// Calls `done` on this task's thread with the spellings that led nowhere.
--- a/test/fakes/fake_backend.cc
+++ b/test/fakes/fake_backend.cc
@@ -87,8 +87,7 @@
         service_time(service_us),
         slots(static_cast<std::size_t>(slots)) {}
 
-  void Handle(const net::ServerRequest& incoming, net::Responder respond) {
-    const net::HttpRequest& request = incoming.request;
+  void Handle(const net::HttpRequest& request, net::Responder respond) {
     const std::string path = request.url.substr(0, request.url.find('?'));
     if (path == "/_grant") return this->Grant(request, respond);
     if (path == "/_cancel") return respond({200, {}, ""});
@@ -234,7 +233,7 @@
   net::HttpServerOptions options;
   options.address = flags.Listen();
   net::HttpServer server(
-      options, [&](const net::ServerRequest& request, net::Responder respond) {
+      options, [&](const net::HttpRequest& request, net::Responder respond) {
         backend.Handle(request, std::move(respond));
       });
   if (!server.Start()) {
--- a/test/fakes/fake_platform.cc
+++ b/test/fakes/fake_platform.cc
@@ -162,10 +162,10 @@
   options.address = flags.Listen();
   options.max_body_bytes = 64U << 20U;
   options.threads = 4;
-  net::HttpServer server(options, [&](const net::ServerRequest& request,
+  net::HttpServer server(options, [&](const net::HttpRequest& request,
                                       const net::Responder& respond) {
     if (platform.Slow()) std::this_thread::sleep_for(fakes::kSlowDelay);
-    respond(platform.Handle(request.request));
+    respond(platform.Handle(request));
   });
   if (!server.Start()) {
     std::fprintf(stderr, "fake-platform: cannot listen\n");
--- a/test/processes/processes_test.py
+++ b/test/processes/processes_test.py
@@ -333,6 +333,33 @@
         self.assertEqual(self.executions(), before)
         self.assertEqual(ask(self.entries[0], "GET", "/rozpis/a").status, 200)
 
+    def test_a_request_with_two_readings_is_refused(self):
+        """Forms that another server may read as two requests."""
+        smuggled = b"POST /rozpis/skryty HTTP/1.1\r\nHost: a\r\n\r\n"
+        head = b"POST /rozpis/a HTTP/1.1\r\nHost: a\r\n"
+        cases = {
+            "a length and a transfer encoding":
+                head + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"
+                b"\r\n0\r\n\r\n" + smuggled,
+            "two lengths that differ":
+                head + b"Content-Length: 0\r\nContent-Length: 5\r\n\r\n"
+                + smuggled,
+            "a folded header":
+                head + b"X-Own: a\r\n Content-Length: 5\r\n"
+                b"Content-Length: 0\r\n\r\n" + smuggled,
+            "control characters in the method":
+                b"PO\x01ST /rozpis/a HTTP/1.1\r\nHost: a\r\n"
+                b"Content-Length: 0\r\n\r\n" + smuggled,
+        }
+        for name, data in cases.items():
+            with self.subTest(name):
+                before = self.executions()
+                answer = self.raw(data)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 400 "), answer)
+                self.assertIn(b"X-Outcome: not-run", answer)
+                self.assertEqual(answer.count(b"HTTP/1.1 "), 1, answer)
+                self.assertEqual(self.executions(), before)
+
     def test_requests_pass_through_unchanged(self):
         for entry in self.entries:
             answer = ask(entry, "PATCH", "/rozpis/%C5%99%2Fx/rest%20y?q=a%26b",
@@ -346,6 +373,29 @@
             self.assertIn("x-own", names)
             self.assertNotIn("x-hop", names)
 
+    def test_a_lookup_whose_caller_left_is_cut_off_and_a_booking_is_not(self):
+        for server in self.manifest["services"][0]["servers"]:
+            self.fleet.fault(self.fleet.addresses[server["name"]], "frozen")
+        entry = self.entries[0]
+        gone = 'chervilmux_refusals_total{kind="caller-gone"}'
+
+        def pending():
+            return self.fleet.metric(entry, "chervilmux_jobs")
+
+        for number, method in enumerate((b"POST", b"GET"), start=1):
+            host, port = entry.caller.rsplit(":", 1)
+            with socket.create_connection((host, int(port)), timeout=10) as sock:
+                sock.sendall(method + b" /rozpis/a HTTP/1.1\r\nHost: a\r\n"
+                             b"Content-Length: 0\r\nX-Timeout-Ms: 30000\r\n"
+                             b"\r\n")
+                self.fleet.wait_until(lambda: pending() == number,
+                                      "the request to be taken in")
+        # The booking's caller left first, so its end would be counted by now.
+        self.fleet.wait_until(lambda: self.fleet.metric(entry, gone),
+                              "the lookup to be cut off")
+        self.fleet.wait_until(lambda: pending() == 1, "the booking alone")
+        self.assertEqual(self.fleet.metric(entry, gone), 1)
+
     def test_peers_noise_is_refused_and_counted(self):
         host, port = self.entries[0].peer.rsplit(":", 1)
         noise = random.Random(SEED)
