--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -193,17 +193,16 @@
 
 void Dispatcher::Refuse(Job& job, ErrorKind kind, std::string_view why,
                         Duration expected_wait) {
-  const auto& traits = kernel::TraitsOf(kind);
   // "Not run" must be true also after an earlier attempt of this request.
-  if (job.possible_runs > 0 && traits.outcome == kernel::Outcome::kNotRun) {
-    kind = ErrorKind::kServerBroken;
-  }
-  const auto& traits_of_end = kernel::TraitsOf(kind);
+  const bool says_not_run =
+      kernel::TraitsOf(kind).outcome == kernel::Outcome::kNotRun;
+  if (job.possible_runs > 0 && says_not_run) kind = ErrorKind::kServerBroken;
+  const kernel::Outcome outcome = kernel::TraitsOf(kind).outcome;
   const kernel::Error error{kind, std::string(why)};
   this->metrics.CountError("chervilmux_refused_total", kind);
   this->metrics
       .Time("chervilmux_request_seconds",
-            Outcome(job.service, kernel::NameOf(traits_of_end.outcome)))
+            Outcome(job.service, kernel::NameOf(outcome)))
       .Observe(kernel::Now() - job.arrived);
   this->LogFailure(job, error);
   const Duration come_back =
--- a/src/ranges/range_planner.cc
+++ b/src/ranges/range_planner.cc
@@ -166,7 +166,11 @@
         tuning(tuning),
         weights(load),
         shares(ranges, servers, this->weights) {
-    for (const auto& range : ranges) this->CutAtHotBuckets(range);
+    const auto count =
+        static_cast<double>(std::max<std::size_t>(1, servers.size()));
+    const double hot =
+        std::max(kHotShare * load.Total() / count, tuning.least_load / 2);
+    for (const auto& range : ranges) this->CutAtHotBuckets(range, hot);
   }
 
   std::vector<PlannedMove> Plan() {
@@ -198,17 +202,15 @@
     unit.weight = this->weights.Of(unit.range.first, unit.range.last);
   }
 
-  void CutAtHotBuckets(const PlannedRange& range) {
-    const double hot =
-        kHotShare * this->load.Total() /
-        static_cast<double>(std::max<std::size_t>(1, this->servers.size()));
+  /// `hot`: requests a second from which a bucket stands alone.
+  void CutAtHotBuckets(const PlannedRange& range, double hot) {
     std::uint32_t next = range.first;
     for (std::uint32_t begin = range.first; begin <= range.last;) {
       const std::uint32_t end =
           std::min<std::uint32_t>(begin | (kKeysPerBucket - 1), range.last);
       const double bucket =
           this->load.Between(static_cast<Key>(begin), static_cast<Key>(end));
-      if (bucket > std::max(hot, this->tuning.least_load / 2)) {
+      if (bucket > hot) {
         if (begin > next) this->AddUnit(range, next, begin - 1, false);
         this->AddUnit(range, begin, end, true);
         next = end + 1;
--- a/src/ranges/range_table.cc
+++ b/src/ranges/range_table.cc
@@ -157,12 +157,37 @@
   return true;
 }
 
-std::string EncodeTable(const RangeTable& table) {
+namespace {
+
+/// What tables and changes both tell: whose owners, and as of when.
+template <typename Owners>
+Json::Value HeadToJson(const Owners& owners) {
   Json::Value json(Json::objectValue);
-  json["service"] = table.service;
-  json["term"] = Json::UInt64(table.term);
-  json["sequence"] = Json::UInt64(table.sequence);
-  json["leader"] = table.leader;
+  json["service"] = owners.service;
+  json["leader"] = owners.leader;
+  json["term"] = Json::UInt64(owners.term);
+  json["sequence"] = Json::UInt64(owners.sequence);
+  return json;
+}
+
+/// The parsed text; its head goes into `owners`. Errors: kMessageMalformed.
+template <typename Owners>
+kernel::Result<Json::Value> ParseHead(std::string_view text, Owners& owners) {
+  BOOST_OUTCOME_TRY(json, kernel::ParseJson(text));
+  if (!json.isObject()) {
+    return kernel::Fail(ErrorKind::kMessageMalformed, "owners: not an object");
+  }
+  owners.service = kernel::StringOr(json, "service");
+  owners.leader = kernel::StringOr(json, "leader");
+  owners.term = kernel::UintOr(json, "term");
+  owners.sequence = kernel::UintOr(json, "sequence");
+  return json;
+}
+
+}  // namespace
+
+std::string EncodeTable(const RangeTable& table) {
+  Json::Value json = HeadToJson(table);
   json["leader_life"] = Json::UInt64(table.leader_life);
   json["last_fence"] = Json::UInt64(table.last_fence);
   json["ranges"] = RangesToJson(table.ranges);
@@ -170,16 +195,8 @@
 }
 
 kernel::Result<RangeTable> DecodeTable(std::string_view text) {
-  BOOST_OUTCOME_TRY(json, kernel::ParseJson(text));
-  if (!json.isObject()) {
-    return kernel::Fail(ErrorKind::kMessageMalformed,
-                        "range table: not an object");
-  }
   RangeTable table;
-  table.service = kernel::StringOr(json, "service");
-  table.term = kernel::UintOr(json, "term");
-  table.sequence = kernel::UintOr(json, "sequence");
-  table.leader = kernel::StringOr(json, "leader");
+  BOOST_OUTCOME_TRY(json, ParseHead(text, table));
   table.leader_life = kernel::UintOr(json, "leader_life");
   table.last_fence = kernel::UintOr(json, "last_fence");
   BOOST_OUTCOME_TRY(ranges, RangesFromJson(json["ranges"]));
@@ -192,28 +209,16 @@
 }
 
 std::string EncodeDelta(const RangeDelta& delta) {
-  Json::Value json(Json::objectValue);
-  json["service"] = delta.service;
-  json["leader"] = delta.leader;
-  json["term"] = Json::UInt64(delta.term);
+  Json::Value json = HeadToJson(delta);
   json["base_sequence"] = Json::UInt64(delta.base_sequence);
-  json["sequence"] = Json::UInt64(delta.sequence);
   json["changed"] = RangesToJson(delta.changed);
   return kernel::PrintJson(json);
 }
 
 kernel::Result<RangeDelta> DecodeDelta(std::string_view text) {
-  BOOST_OUTCOME_TRY(json, kernel::ParseJson(text));
-  if (!json.isObject()) {
-    return kernel::Fail(ErrorKind::kMessageMalformed,
-                        "range delta: not an object");
-  }
   RangeDelta delta;
-  delta.service = kernel::StringOr(json, "service");
-  delta.leader = kernel::StringOr(json, "leader");
-  delta.term = kernel::UintOr(json, "term");
+  BOOST_OUTCOME_TRY(json, ParseHead(text, delta));
   delta.base_sequence = kernel::UintOr(json, "base_sequence");
-  delta.sequence = kernel::UintOr(json, "sequence");
   BOOST_OUTCOME_TRY(changed, RangesFromJson(json["changed"]));
   delta.changed = std::move(changed);
   return delta;
--- a/test/correctness/data_path_test.cc
+++ b/test/correctness/data_path_test.cc
@@ -14,6 +14,7 @@
 #include <thread>
 
 #include "kernel/task.h"
+#include "loopback_listener.h"
 #include "net/http_front.h"
 #include "net/server_links.h"
 
@@ -23,33 +24,6 @@
 using kernel::milliseconds;
 using kernel::seconds;
 
-/// A bound listening socket on a free port of the loopback address.
-class Listener {
- public:
-  Listener() : descriptor(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto* generic = reinterpret_cast<sockaddr*>(&address);
-    REQUIRE(bind(this->descriptor, generic, size) == 0);
-    REQUIRE(listen(this->descriptor, 8) == 0);
-    getsockname(this->descriptor, generic, &size);
-    this->address = {"127.0.0.1", ntohs(address.sin_port)};
-  }
-  ~Listener() { this->Close(); }
-  void Close() {
-    if (this->descriptor >= 0) close(this->descriptor);
-    this->descriptor = -1;
-  }
-  int Accept() const { return accept(this->descriptor, nullptr, nullptr); }
-
-  Address address;
-
- private:
-  int descriptor;
-};
-
 /// A blocking caller.
 class Caller {
  public:
@@ -104,7 +78,7 @@
       return answer;
     };
     this->front = std::make_unique<HttpFront>(this->task, std::move(events));
-    Listener probe;
+    fakes::LoopbackListener probe;
     this->address = probe.address;
     probe.Close();
     REQUIRE(this->front->Listen(this->address));
@@ -203,7 +177,7 @@
 /// The test's end of one connection to a server.
 class ServerEnd {
  public:
-  explicit ServerEnd(const Listener& listener)
+  explicit ServerEnd(const fakes::LoopbackListener& listener)
       : descriptor(listener.Accept()) {}
   ~ServerEnd() { this->Close(); }
   void Close() {
@@ -288,7 +262,7 @@
 }
 
 TEST_CASE("a server's connection") {
-  Listener listener;
+  fakes::LoopbackListener listener;
   Links links;
   GIVEN("that was used once") {
     auto first = links.Start(listener.address, "a", true);
@@ -350,7 +324,7 @@
 }
 
 TEST_CASE("a server that does not listen was not asked") {
-  Listener listener;
+  fakes::LoopbackListener listener;
   const Address address = listener.address;
   listener.Close();
   Links links;
--- a/test/correctness/http_client_silent_test.cc
+++ b/test/correctness/http_client_silent_test.cc
@@ -1,7 +1,6 @@
 // A server that takes no connection: the client's watches of sockets that
 // libcurl gives up while they connect.
 
-#include <arpa/inet.h>
 #include <doctest/doctest.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -11,6 +10,7 @@
 #include <vector>
 
 #include "kernel/task.h"
+#include "loopback_listener.h"
 #include "net/http_client.h"
 
 namespace chervilmux {
@@ -19,36 +19,29 @@
 /// Listens, but its queue of new connections is full: further ones hang.
 class FullListener {
  public:
-  FullListener() : descriptor(socket(AF_INET, SOCK_STREAM, 0)) {
-    this->address.sin_family = AF_INET;
-    this->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    auto* generic = reinterpret_cast<sockaddr*>(&this->address);
-    socklen_t size = sizeof(this->address);
-    REQUIRE(bind(this->descriptor, generic, size) == 0);
-    REQUIRE(listen(this->descriptor, 0) == 0);
-    REQUIRE(getsockname(this->descriptor, generic, &size) == 0);
+  FullListener() : listener(0) {
+    const ACE_INET_Addr to = this->listener.address.ToAce();
     for (int i = 0; i < 4; ++i) {
       const int filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      const int status = connect(filler, generic, size);
+      const int status =
+          connect(filler, static_cast<const sockaddr*>(to.get_addr()),
+                  static_cast<socklen_t>(to.get_size()));
       REQUIRE((status == 0 || errno == EINPROGRESS));
       this->fillers.push_back(filler);
     }
   }
   ~FullListener() {
     for (const int filler : this->fillers) close(filler);
-    close(this->descriptor);
   }
   FullListener(const FullListener&) = delete;
   FullListener& operator=(const FullListener&) = delete;
 
   std::string Url() const {
-    return "http://127.0.0.1:" + std::to_string(ntohs(this->address.sin_port)) +
-           "/";
+    return "http://" + this->listener.address.ToString() + "/";
   }
 
  private:
-  int descriptor;
-  sockaddr_in address{};
+  fakes::LoopbackListener listener;
   std::vector<int> fillers;
 };
 
--- a/test/correctness/http_client_test.cc
+++ b/test/correctness/http_client_test.cc
@@ -1,8 +1,6 @@
 #include "net/http_client.h"
 
-#include <arpa/inet.h>
 #include <doctest/doctest.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,7 +9,7 @@
 #include <string>
 #include <thread>
 
-#include "net/address.h"
+#include "loopback_listener.h"
 
 namespace chervilmux::net {
 namespace {
@@ -21,27 +19,15 @@
 /// gives up an idle connection just as it is used again.
 class ClosingServer {
  public:
-  ClosingServer() : listener(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto* generic = reinterpret_cast<sockaddr*>(&address);
-    REQUIRE(bind(this->listener, generic, size) == 0);
-    REQUIRE(listen(this->listener, 8) == 0);
-    getsockname(this->listener, generic, &size);
-    this->port = ntohs(address.sin_port);
-    this->thread = std::thread([this] { this->Run(); });
-  }
+  ClosingServer() : thread([this] { this->Run(); }) {}
 
   ~ClosingServer() {
-    shutdown(this->listener, SHUT_RDWR);
+    this->listener.Shutdown();
     this->thread.join();
-    close(this->listener);
   }
 
   std::string Url() const {
-    return "http://127.0.0.1:" + std::to_string(this->port) + "/k";
+    return "http://" + this->listener.address.ToString() + "/k";
   }
   int Requests() const { return this->requests; }
 
@@ -65,7 +51,7 @@
 
   void Run() {
     while (true) {
-      const int connection = accept(this->listener, nullptr, nullptr);
+      const int connection = this->listener.Accept();
       if (connection < 0) return;
       if (ReadRequest(connection)) {
         this->requests += 1;
@@ -78,8 +64,7 @@
     }
   }
 
-  int listener;
-  std::uint16_t port = 0;
+  fakes::LoopbackListener listener;
   std::atomic<int> requests = 0;
   std::thread thread;
 };
--- a/test/correctness/range_table_test.cc
+++ b/test/correctness/range_table_test.cc
@@ -7,12 +7,15 @@
 #include <map>
 #include <random>
 
+#include "planned_moves.h"
 #include "ranges/load_map.h"
 #include "ranges/range_planner.h"
 
 namespace chervilmux::ranges {
 namespace {
 
+using fakes::Owned;
+
 RangeTable TwoOwners() {
   RangeTable table;
   table.service = "s";
@@ -33,14 +36,6 @@
   return table;
 }
 
-PlannedRange Owned(Key first, Key last, std::string owner) {
-  PlannedRange range;
-  range.first = first;
-  range.last = last;
-  range.owner = std::move(owner);
-  return range;
-}
-
 std::vector<PlannedServer> Servers(std::initializer_list<const char*> ids) {
   std::vector<PlannedServer> servers;
   for (const char* id : ids) servers.push_back({id, "domain", 4});
@@ -73,22 +68,7 @@
                                    const LoadMap& load, int rounds) {
   for (int round = 0; round < rounds; ++round) {
     for (const auto& move : PlanBalance(ranges, servers, load)) {
-      std::vector<PlannedRange> next;
-      for (const auto& range : ranges) {
-        if (range.last < move.first || range.first > move.last) {
-          next.push_back(range);
-          continue;
-        }
-        if (range.first < move.first) {
-          next.push_back(Owned(range.first, move.first - 1, range.owner));
-        }
-        next.push_back(Owned(std::max(range.first, move.first),
-                             std::min(range.last, move.last), move.target));
-        if (range.last > move.last) {
-          next.push_back(Owned(move.last + 1, range.last, range.owner));
-        }
-      }
-      ranges = std::move(next);
+      ranges = fakes::CarryOut(ranges, move);
     }
   }
   return ranges;
--- a/test/scenario/hot_key_test.cc
+++ b/test/scenario/hot_key_test.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "planned_moves.h"
 #include "ranges/load_map.h"
 #include "ranges/range_planner.h"
 
@@ -113,37 +114,10 @@
     this->load.Advance(kernel::Instant(kernel::FromSeconds(1 + this->now)));
     for (const auto& move :
          ranges::PlanBalance(this->owned, this->planned, this->load)) {
-      this->Carry(move);
+      this->owned = fakes::CarryOut(this->owned, move);
     }
   }
 
-  void Carry(const ranges::PlannedMove& move) {
-    std::vector<ranges::PlannedRange> next;
-    const auto add = [&](std::uint32_t first, std::uint32_t last,
-                         const std::string& owner) {
-      if (first > last) return;
-      ranges::PlannedRange& range = next.emplace_back();
-      range.first = static_cast<Key>(first);
-      range.last = static_cast<Key>(last);
-      range.owner = owner;
-    };
-    for (const auto& range : this->owned) {
-      if (range.last < move.first || range.first > move.last) {
-        next.push_back(range);
-        continue;
-      }
-      if (range.first < move.first) {
-        add(range.first, move.first - 1U, range.owner);
-      }
-      add(std::max(range.first, move.first), std::min(range.last, move.last),
-          move.target);
-      if (range.last > move.last) {
-        add(move.last + 1U, range.last, range.owner);
-      }
-    }
-    this->owned = std::move(next);
-  }
-
   double now = 0;
   double next_balance = 0;
   std::mt19937_64 random{20261204};
