chervilmux status shows a node's view; the node serves it as JSON

Change: /status on the operators' address tells configuration, age of knowledge, peers, servers with load, speed and state, owners with their leader; the command prints it. One word for an instance's view, whichever program answers.

--- a/apps/chervilmux/main.cc
+++ b/apps/chervilmux/main.cc
@@ -11,6 +11,7 @@
 
 #include "config/settings.h"
 #include "kernel/error.h"
+#include "node_view.h"
 #include "platform_session.h"
 #include "publish.h"
 #include "queries.h"
@@ -26,7 +27,8 @@
     "  check FILE            validate a manifest; names each bad line\n"
     "  publish FILE          put a manifest in force (needs "
     "--platform-address)\n"
-    "  status                cells and peers as an instance sees them\n"
+    "  status                servers, owners and peers as an instance sees "
+    "them\n"
     "  explain SERVICE KEY   which server owns a key, and by which rule\n"
     "  names                 unknown spellings with suggested corrections\n"
     "  drain INSTANCE        ask an entry instance to hand over and stop\n"
@@ -67,7 +69,13 @@
   return 0;
 }
 
-int RunStatus(const Invocation& call) { return PrintStatus(call.instance); }
+int RunStatus(const Invocation& call) {
+  if (const auto node = FetchNodeStatus(call.instance)) {
+    PrintNodeStatus(*node);
+    return 0;
+  }
+  return PrintStatus(call.instance);
+}
 
 int RunExplain(const Invocation& call) {
   return PrintExplanation(call.instance, call.words[1], call.words[2]);
@@ -120,7 +128,7 @@
       ("platform-address", po::value<std::string>(),
        "ip:port of the platform")  //
       ("operator-address", po::value<std::string>(),
-       "ip:port of an entry instance's operator side")  //
+       "ip:port of an instance's operator side")  //
       ("platform-timeout-ms", po::value<std::string>()->default_value("3000"),
        "longest wait for one answer of the platform");
   return options;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -142,6 +142,11 @@
   return this->StateOf(service).loads.RelativeSpeed(id, kernel::Now());
 }
 
+std::vector<policy::ServerView> Dispatcher::ServersOf(
+    const std::string& service) {
+  return this->StateOf(service).loads.Views(kernel::Now());
+}
+
 Dispatcher::Job* Dispatcher::Accept(const net::RequestRef& ref,
                                     net::HttpRequest request) {
   const Instant now = kernel::Now();
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -93,6 +93,9 @@
   /// How fast a server of `service` works relative to the others.
   double RelativeSpeed(const std::string& service, std::string_view id);
 
+  /// The servers of `service` as this instance sees them.
+  std::vector<policy::ServerView> ServersOf(const std::string& service);
+
   std::size_t Open() const { return this->jobs.size(); }
 
  private:
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -34,6 +34,7 @@
 constexpr Duration kStopReserve = milliseconds(300);
 
 constexpr std::string_view kMetricsPath = "/metrics";
+constexpr std::string_view kStatusPath = "/status";
 
 InstanceRecord Introduce(const NodeSettings& settings) {
   InstanceRecord record;
@@ -136,19 +137,15 @@
                                           const net::HttpRequest& request) {
         this->OnPeerRequest(ref, request);
       }));
-  this->metrics_front = std::make_unique<net::HttpFront>(
+  this->operators = std::make_unique<net::HttpFront>(
       this->task, this->PlainFront([this](const net::RequestRef& ref,
                                           const net::HttpRequest& request) {
-        const bool known = request.url == kMetricsPath;
-        this->metrics_front->Answer(
-            ref, known ? net::PlainAnswer(200, this->MetricsText())
-                       : net::PlainAnswer(404));
+        this->OnOperatorRequest(ref, request);
       }));
   BOOST_OUTCOME_TRY(this->callers->Listen(this->settings.caller_address));
   BOOST_OUTCOME_TRY(this->readiness->Listen(this->settings.readiness_address));
   BOOST_OUTCOME_TRY(this->peers->Listen(this->settings.peer_address));
-  BOOST_OUTCOME_TRY(
-      this->metrics_front->Listen(this->settings.metrics_address));
+  BOOST_OUTCOME_TRY(this->operators->Listen(this->settings.metrics_address));
   this->task.Every(kTickPeriod, [this] { this->Tick(); });
   return kernel::Ok();
 }
@@ -161,10 +158,7 @@
 void Node::Tick() {
   const Instant now = kernel::Now();
   this->readers.OnStoreAnswered(this->configuration_table.HeardAt());
-  const bool leads = std::ranges::any_of(
-      this->key_services,
-      [](const auto& entry) { return entry.second->Leads(); });
-  const bool follows = leads || this->readers.Follows(now);
+  const bool follows = this->FollowsStore(now);
   // Leaders tell owners sooner than the store does.
   const bool owners_told =
       std::ranges::all_of(this->key_services, [now](const auto& entry) {
@@ -185,6 +179,13 @@
   if (this->stop_began) this->ContinueStop(now);
 }
 
+bool Node::FollowsStore(Instant now) const {
+  const bool leads = std::ranges::any_of(
+      this->key_services,
+      [](const auto& entry) { return entry.second->Leads(); });
+  return leads || this->readers.Follows(now);
+}
+
 void Node::NoteStoreTrouble(Instant at) {
   this->store_trouble_at = std::max(this->store_trouble_at, at);
   this->servers.NoteStoreTrouble(at);
@@ -422,6 +423,43 @@
   if (this->on_stopped) std::exchange(this->on_stopped, nullptr)();
 }
 
+void Node::OnOperatorRequest(const net::RequestRef& ref,
+                             const net::HttpRequest& request) {
+  net::HttpAnswer answer = net::PlainAnswer(404);
+  if (request.url == kMetricsPath) {
+    answer = net::PlainAnswer(200, this->MetricsText());
+  } else if (request.url == kStatusPath) {
+    answer = net::PlainAnswer(200, EncodeStatus(this->Status()));
+  }
+  this->operators->Answer(ref, std::move(answer));
+}
+
+NodeStatus Node::Status() {
+  const Instant now = kernel::Now();
+  NodeStatus status;
+  status.self = this->self;
+  status.ready = this->Ready();
+  status.stopping = this->stop_began.has_value();
+  status.follows_store = this->FollowsStore(now);
+  status.knowledge_age = this->readers.KnowledgeAge(now);
+  status.open_requests = this->dispatcher->Open();
+  for (const auto& [name, instance] : this->readers.Instances()) {
+    status.instances.push_back(instance);
+  }
+  if (!this->configuration) return status;
+  status.configuration_version = this->configuration->version;
+  for (const auto& [name, service] : this->configuration->services) {
+    ServiceStatus& entry = status.services.emplace_back();
+    entry.name = name;
+    entry.servers = this->dispatcher->ServersOf(name);
+    const auto keyed = this->key_services.find(name);
+    if (keyed != this->key_services.end()) {
+      entry.owners = Summarize(keyed->second->Owners());
+    }
+  }
+  return status;
+}
+
 std::string Node::MetricsText() {
   this->metrics.Count("chervilmux_open_requests")
       .SetTo(this->dispatcher->Open());
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -25,6 +25,7 @@
 #include "node/formats.h"
 #include "node/key_service.h"
 #include "node/node_settings.h"
+#include "node/node_status.h"
 #include "node/peer_message.h"
 #include "node/server_list.h"
 #include "node/store_readers.h"
@@ -82,8 +83,12 @@
                   std::function<void(const net::TransferResult&)> done);
   void OnReadiness(const net::RequestRef& ref, const net::HttpRequest& request);
   bool Ready() const;
+  bool FollowsStore(kernel::Instant now) const;
   void ContinueStop(kernel::Instant now);
+  void OnOperatorRequest(const net::RequestRef& ref,
+                         const net::HttpRequest& request);
   std::string MetricsText();
+  NodeStatus Status();
   std::vector<TableFollower*> Followers();
   net::FrontEvents PlainFront(
       std::function<void(const net::RequestRef&, net::HttpRequest)> handler);
@@ -102,7 +107,7 @@
   std::unique_ptr<net::HttpFront> callers;
   std::unique_ptr<net::HttpFront> readiness;
   std::unique_ptr<net::HttpFront> peers;
-  std::unique_ptr<net::HttpFront> metrics_front;
+  std::unique_ptr<net::HttpFront> operators;
 
   InstanceRecord self;
   StoreReaders readers;
--- a/src/policy/server_loads.cc
+++ b/src/policy/server_loads.cc
@@ -269,6 +269,24 @@
   return std::clamp(this->mean_work_s / (work * warm_up), kSlowest, kFastest);
 }
 
+std::vector<ServerView> ServerLoads::Views(Instant now) const {
+  std::vector<ServerView> views;
+  for (const auto& [id, server] : this->servers) {
+    ServerView& view = views.emplace_back();
+    view.id = id;
+    view.address = server.listed.address;
+    view.failure_domain = server.listed.failure_domain;
+    view.draining = server.listed.draining;
+    if (now < server.set_aside_until) {
+      view.set_aside_for = server.set_aside_until - now;
+    }
+    view.slots = server.listed.slots;
+    view.load = this->Load(server, now);
+    view.relative_speed = this->RelativeSpeed(id, now);
+  }
+  return views;
+}
+
 unsigned ServerLoads::Slots(Instant now) const {
   unsigned slots = 0;
   for (const auto& [id, server] : this->servers) {
--- a/src/policy/server_loads.h
+++ b/src/policy/server_loads.h
@@ -21,6 +21,7 @@
 
 #include "kernel/time.h"
 #include "model/backend_server.h"
+#include "net/address.h"
 
 namespace chervilmux::policy {
 
@@ -46,6 +47,18 @@
   kAbandoned,    ///< The caller left first; says nothing.
 };
 
+/// How this instance sees a server, for operators.
+struct ServerView {
+  std::string id;
+  net::Address address;
+  std::string failure_domain;
+  bool draining = false;
+  kernel::Duration set_aside_for{0};  ///< Zero when it is in use.
+  unsigned slots = 0;
+  double load = 0;  ///< Estimated requests at the server, of all instances.
+  double relative_speed = 1;  ///< Of the mean of its service.
+};
+
 struct ServerLoadsTuning {
   /// Weight of the newest latency in the moving average.
   double latency_gain = 0.15;
@@ -110,6 +123,9 @@
   /// Mean time that a request of this service takes at a server with room.
   kernel::Duration WorkTime() const;
 
+  /// All listed servers, by id.
+  std::vector<ServerView> Views(kernel::Instant now) const;
+
   /// Slots of all usable servers.
   unsigned Slots(kernel::Instant now) const;
 
--- a/test/processes/platform_test.py
+++ b/test/processes/platform_test.py
@@ -77,6 +77,26 @@
                       self.nodes[0].get("/metrics"))
 
 
+    def test_status_tells_the_instances_view(self):
+        self.owned()
+        self.plain[0].register("draining")
+
+        def text():
+            return subprocess.run(
+                [program("chervilmux"),
+                 "--operator-address=%s:9464" % self.nodes[0].ip, "status"],
+                check=True, capture_output=True, text=True).stdout
+        seen = eventually(lambda: text() if "draining" in text() else "",
+                          "the draining server is shown")
+        self.assertIn("instance node-0 a ready", seen)
+        self.assertIn("peer node-1 ", seen)
+        owners = [line for line in seen.splitlines()
+                  if line.startswith("service keyed owners by node-")]
+        self.assertEqual(len(owners), 1, seen)
+        for server in self.plain + self.keyed:
+            self.assertIn(server.name, seen)
+
+
 class BadServers(World):
     def all_plain(self, fault):
         for server in self.plain:
