A request leaves its failure domain only when it would be late there

Cause: a server of another domain was taken as soon as it was quicker by 0.6 of the work time, though bytes between domains are dear and objectives leave room for about three work times. Change: crossing costs 2.5 work times.

--- a/src/policy/server_loads.h
+++ b/src/policy/server_loads.h
@@ -66,9 +66,11 @@
   kernel::Duration told_half_life = kernel::milliseconds(400);
   /// Requests beyond the slots that may wait at a server, per slot.
   double waiting_per_slot = 1.2;
-  /// Added to the expected time at a server of another failure domain, as a
-  /// share of its work time: bytes between failure domains are dear.
-  double crossing_penalty = 0.6;
+  /// Added to the expected time at a server of another failure domain, in its
+  /// work times: bytes between failure domains are dear. Objectives are about
+  /// three work times, so a request leaves its domain when it would be late
+  /// there.
+  double crossing_penalty = 2.5;
   /// How long a server that cannot be reached is left alone at first.
   kernel::Duration first_set_aside = kernel::milliseconds(600);
   kernel::Duration longest_set_aside = kernel::seconds(4);
