--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -114,6 +114,8 @@
             kernel::Instant now);
   void OnTransfer(std::uint64_t job_id, net::TransferResult result);
   void OnAnswer(Job& job, net::HttpAnswer answer, kernel::Instant now);
+  void OnNotRun(Job& job, const Verdict& verdict, kernel::Instant now);
+  void NoteAnswered(const Job& job, unsigned status, kernel::Instant now);
   void OnFailedTransfer(Job& job, const net::TransferResult& result,
                         kernel::Instant now);
   void NoteEnd(Job& job, policy::AttemptEnd end,
--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -66,29 +66,12 @@
 
 void Dispatcher::OnAnswer(Job& job, net::HttpAnswer answer, Instant now) {
   const Verdict verdict = this->wire.Judge(answer);
-  const bool failed = answer.status >= 500 || verdict.false_promise;
   if (verdict.not_run) {
-    // Without keys, another server at the address means that this one is gone.
-    AttemptEnd end = AttemptEnd::kShed;
-    if (verdict.wrong_place) {
-      end = job.keyed ? AttemptEnd::kAbandoned : AttemptEnd::kUnreachable;
-    }
-    this->NoteEnd(job, end, verdict.load, now);
-    if (verdict.wrong_place && job.keyed && this->on_stale_owners) {
-      this->on_stale_owners(job.service);
-      job.place_after = now + kOwnerRefresh;
-    }
-    const ErrorKind kind =
-        verdict.wrong_place ? ErrorKind::kServerFenced : ErrorKind::kServerShed;
-    // A server that refuses for load knows best, and a key has no other one.
-    const bool full = !verdict.load || !verdict.load->HasFreeSlot();
-    const bool owner_full = job.keyed && full && kind == ErrorKind::kServerShed;
-    if (!owner_full && this->MayRepeat(job, kind, now)) return;
-    this->Refuse(job, kind, "the server did not run it",
-                 this->StateOf(job.service).loads.WorkTime());
+    this->OnNotRun(job, verdict, now);
     return;
   }
   job.possible_runs += 1;
+  const bool failed = answer.status >= 500 || verdict.false_promise;
   if (!failed && !verdict.genuine && answer.status < 300) {
     this->NoteEnd(job, AttemptEnd::kBroken, verdict.load, now);
     if (this->MayRepeat(job, ErrorKind::kAnswerTruncated, now)) return;
@@ -104,6 +87,33 @@
                  "the server's status would say that nothing was run", {});
     return;
   }
+  this->NoteAnswered(job, answer.status, now);
+  this->Finish(job, this->wire.ToCaller(std::move(answer)));
+}
+
+/// The server said that it did not run the request.
+void Dispatcher::OnNotRun(Job& job, const Verdict& verdict, Instant now) {
+  AttemptEnd end = AttemptEnd::kShed;
+  if (verdict.wrong_place) {
+    // Without keys, another server at the address means that this one is gone.
+    end = job.keyed ? AttemptEnd::kAbandoned : AttemptEnd::kUnreachable;
+  }
+  this->NoteEnd(job, end, verdict.load, now);
+  if (verdict.wrong_place && job.keyed && this->on_stale_owners) {
+    this->on_stale_owners(job.service);
+    job.place_after = now + kOwnerRefresh;
+  }
+  const ErrorKind kind =
+      verdict.wrong_place ? ErrorKind::kServerFenced : ErrorKind::kServerShed;
+  // A server that refuses for load knows best, and a key has no other one.
+  const bool full = !verdict.load || !verdict.load->HasFreeSlot();
+  const bool owner_full = job.keyed && full && kind == ErrorKind::kServerShed;
+  if (!owner_full && this->MayRepeat(job, kind, now)) return;
+  this->Refuse(job, kind, "the server did not run it",
+               this->StateOf(job.service).loads.WorkTime());
+}
+
+void Dispatcher::NoteAnswered(const Job& job, unsigned status, Instant now) {
   this->metrics
       .Count("chervilmux_answered_total",
              observe::Label("service", job.service))
@@ -114,15 +124,13 @@
   this->metrics
       .Time("chervilmux_server_seconds", observe::Label("service", job.service))
       .Observe(now - job.sent_at);
-  if (failed || job.id % kAnsweredLogSample == 0) {
-    observe::LogInfo("answered", {{"request", job.inquiry.id},
-                                  {"service", job.service},
-                                  {"server", job.server_id},
-                                  {"status", std::to_string(answer.status)},
-                                  {"took_ms", Ms(now - job.arrived)},
-                                  {"sends", std::to_string(job.tried.size())}});
-  }
-  this->Finish(job, this->wire.ToCaller(std::move(answer)));
+  if (status < 500 && job.id % kAnsweredLogSample != 0) return;
+  observe::LogInfo("answered", {{"request", job.inquiry.id},
+                                {"service", job.service},
+                                {"server", job.server_id},
+                                {"status", std::to_string(status)},
+                                {"took_ms", Ms(now - job.arrived)},
+                                {"sends", std::to_string(job.tried.size())}});
 }
 
 void Dispatcher::OnFailedTransfer(Job& job, const net::TransferResult& result,
