What leaves is counted from when it was last known to be there, not from its news

Change: draining and vanished servers are left 1.6 s after the last moment at which the list was surely true without them. An unknown path is refused as unknown only while the configuration is at most 1.8 s old (was 2 s). When the store's shortest waiting call fails, longer ones that have hung for a second are made again.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -20,8 +20,10 @@
 /// Share of the objective that a request may wait for a free server.
 constexpr double kWaitShare = 0.4;
 /// An owner that drains may be sent to for this long, while its keys move. The
-/// bound is 2 s after the store knew; an instance may hear of it 0.7 s later.
-constexpr Duration kDrainingOwnerLimit = milliseconds(1200);
+/// bound is 2 s after the store knew, so the time counts from the last moment
+/// at which this instance knew that the owner did not drain. 0.4 s are for
+/// changes that a reader of the store gathers and for the way to the server.
+constexpr Duration kDrainingOwnerLimit = milliseconds(1600);
 /// A caller whose key has no owner comes back after this.
 constexpr Duration kNoOwnerWait = milliseconds(300);
 
@@ -105,16 +107,18 @@
   this->routes = std::make_unique<routing::RouteTable>(std::move(new_config));
 }
 
-void Dispatcher::SetServers(ServerDirectory new_directory) {
+void Dispatcher::SetServers(ServerDirectory new_directory,
+                            Instant unchanged_until) {
   const Instant now = kernel::Now();
   this->directory = std::move(new_directory);
   this->by_id.clear();
   for (const auto& [service, servers] : this->directory) {
     for (const auto& server : servers) this->by_id[server.id] = &server;
-    this->StateOf(service).loads.Update(servers, now);
+    this->StateOf(service).loads.Update(servers, unchanged_until, now);
   }
   for (auto& [name, state] : this->services) {
-    if (!this->directory.contains(name)) state->loads.Update({}, now);
+    if (!this->directory.contains(name))
+      state->loads.Update({}, unchanged_until, now);
     this->PlaceWaiting(*state, now);
   }
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -62,7 +62,9 @@
   void SetFront(net::HttpFront& new_front) { this->front = &new_front; }
 
   void SetConfiguration(std::shared_ptr<const model::Configuration> config);
-  void SetServers(ServerDirectory new_directory);
+  /// The servers before were surely all until `unchanged_until`.
+  void SetServers(ServerDirectory new_directory,
+                  kernel::Instant unchanged_until);
   void SetOwners(const ranges::RangeTable& table);
 
   void SetRepeatLimits(double ratio, double slack);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -24,8 +24,8 @@
 /// The same for the configuration: each answer proves that the store is heard.
 constexpr Duration kProofWait = milliseconds(700);
 /// A path without a route is called unknown only if the configuration is known
-/// to be at most this old: half of the 2 s in which a new one is in force.
-constexpr Duration kCurrentAge = milliseconds(2000);
+/// to be at most this old: a new one must be in force after 2 s.
+constexpr Duration kCurrentAge = milliseconds(1800);
 constexpr Duration kRegisterRetry = milliseconds(500);
 /// The platform's balancer takes an instance out after two misses, one second
 /// apart; until then new connections still come.
@@ -69,7 +69,7 @@
                           std::string(this->formats.ConfigurationTable()),
                           kProofWait,
                           {[this] { this->OnConfiguration(); },
-                           [this] { this->NoteStoreTrouble(kernel::Now()); }}),
+                           [this] { this->OnProofFailed(); }}),
       server_table(this->store, std::string(this->formats.ServerTable()),
                    kFollowWait,
                    {[this] { this->OnServerRows(); },
@@ -171,6 +171,7 @@
   this->Register();
   this->UseServers();
   const auto age = this->readers.KnowledgeAge(now);
+  if (age) this->servers_true_until = now - *age;
   this->dispatcher->SetCurrent(age && *age < kCurrentAge);
   for (const auto& [name, service] : this->key_services) service->Tick(now);
   this->dispatcher->CheckTime(now);
@@ -186,6 +187,14 @@
   return leads || this->readers.Follows(now);
 }
 
+/// A connection to the store that died without a sign is noticed first by the
+/// call with the shortest wait; the others may hang on dead ones too.
+void Node::OnProofFailed() {
+  const Instant now = kernel::Now();
+  this->NoteStoreTrouble(now);
+  for (TableFollower* follower : this->Followers()) follower->Renew(now);
+}
+
 void Node::NoteStoreTrouble(Instant at) {
   this->store_trouble_at = std::max(this->store_trouble_at, at);
   this->servers.NoteStoreTrouble(at);
@@ -291,7 +300,7 @@
                         {{"id", id}, {"why", decoded.error().detail}});
     }
   }
-  this->servers.Update(listed, kernel::Now());
+  this->servers.Update(listed, this->servers_true_until, kernel::Now());
 }
 
 void Node::UseServers() {
@@ -309,7 +318,7 @@
   for (const auto& [name, service] : this->key_services) {
     service->Grantor().OnServers(directory[name], now);
   }
-  this->dispatcher->SetServers(std::move(directory));
+  this->dispatcher->SetServers(std::move(directory), this->servers_true_until);
 }
 
 void Node::OnInstances() {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -68,6 +68,7 @@
   void NoteLeaders();
   void UpdateKeyServices();
   void Register();
+  void OnProofFailed();
   void NoteStoreTrouble(kernel::Instant at);
   void Sync(kernel::Instant now);
   std::set<std::string> SyncTargets(kernel::Instant now);
@@ -125,6 +126,8 @@
   kernel::Instant next_register = kernel::kNever;
   bool registering = false;
   bool registered = false;
+  /// The servers in use were surely all until then.
+  kernel::Instant servers_true_until = kernel::kNever;
   kernel::Instant store_trouble_at = kernel::kNever;
   std::optional<kernel::Instant> stop_began;
   std::function<void()> on_stopped;
--- a/src/node/server_list.cc
+++ b/src/node/server_list.cc
@@ -11,9 +11,12 @@
 using kernel::milliseconds;
 
 /// A server that vanishes without having announced it stays in use so long:
-/// an outage of the store may become known only after its first news. Below
-/// the 2 s within which no request may go to a server that has left.
+/// an outage of the store may become known only after its first news.
 constexpr Duration kUnannouncedGrace = milliseconds(800);
+/// But it may have left since the list was last known to be true, and 2 s after
+/// that nothing may go there; 0.4 s of them are for changes that a reader
+/// gathers and for the way to the server.
+constexpr Duration kLeftServerLimit = milliseconds(1600);
 /// An outage of the whole store makes many rows run out together. One that only
 /// some instances notice does not, and must not keep servers that have left.
 constexpr double kOutageShare = 0.3;
@@ -23,9 +26,15 @@
 
 }  // namespace
 
-void ServerList::Update(const ServersById& rows, Instant now) {
+void ServerList::Update(const ServersById& rows, Instant unchanged_until,
+                        Instant now) {
+  Missing gap{now, now + kUnannouncedGrace};
+  if (unchanged_until != kernel::kNever) {
+    gap.keep_until =
+        std::min(gap.keep_until, unchanged_until + kLeftServerLimit);
+  }
   for (const auto& [id, server] : this->in_use) {
-    if (!rows.contains(id)) this->missing.try_emplace(id, now);
+    if (!rows.contains(id)) this->missing.try_emplace(id, gap);
   }
   std::erase_if(this->missing,
                 [&](const auto& entry) { return rows.contains(entry.first); });
@@ -48,13 +57,13 @@
 }
 
 bool ServerList::KeepsMissing(const model::BackendServer& server,
-                              Instant missing_since, Instant now) const {
+                              const Missing& gap, Instant now) const {
   if (server.draining) return false;
-  if (now < missing_since + kUnannouncedGrace) return true;
+  if (now < gap.keep_until) return true;
   // Only an outage that was under way shortly before explains the gap.
   const bool explained = this->LooksLikeOutage() &&
                          this->trouble_at != kernel::kNever &&
-                         this->trouble_at + kReturnTime > missing_since;
+                         this->trouble_at + kReturnTime > gap.since;
   return explained && now < this->trouble_at + kReturnTime;
 }
 
@@ -63,10 +72,10 @@
   if (!this->rows_changed && this->missing.empty()) return false;
   this->rows_changed = false;
   ServersById next = this->listed;
-  for (const auto& [id, since] : this->missing) {
+  for (const auto& [id, gap] : this->missing) {
     const auto server = this->in_use.find(id);
     const bool keep = server != this->in_use.end() &&
-                      this->KeepsMissing(server->second, since, now);
+                      this->KeepsMissing(server->second, gap, now);
     if (keep) next.insert(*server);
   }
   std::erase_if(this->missing, [&next](const auto& entry) {
--- a/src/node/server_list.h
+++ b/src/node/server_list.h
@@ -22,8 +22,10 @@
 
 class ServerList {
  public:
-  /// Takes in the rows as they are now.
-  void Update(const ServersById& rows, kernel::Instant now);
+  /// Takes in the rows as they are now. The rows before were surely true until
+  /// `unchanged_until`; kNever when that is unknown.
+  void Update(const ServersById& rows, kernel::Instant unchanged_until,
+              kernel::Instant now);
 
   /// The store did not answer at `at`, here or at another instance.
   void NoteStoreTrouble(kernel::Instant at);
@@ -33,12 +35,18 @@
   const ServersById& InUse() const { return this->in_use; }
 
  private:
+  /// A server that has vanished from the rows.
+  struct Missing {
+    kernel::Instant since;
+    kernel::Instant keep_until;  ///< Unless an outage explains it.
+  };
+
   bool LooksLikeOutage() const;
-  bool KeepsMissing(const model::BackendServer& server,
-                    kernel::Instant missing_since, kernel::Instant now) const;
+  bool KeepsMissing(const model::BackendServer& server, const Missing& gap,
+                    kernel::Instant now) const;
 
   ServersById listed;
-  std::map<std::string, kernel::Instant, std::less<>> missing;
+  std::map<std::string, Missing, std::less<>> missing;
   ServersById in_use;
   kernel::Instant trouble_at = kernel::kNever;
   bool rows_changed = false;  ///< Since the last Refresh().
--- a/src/node/table_follower.cc
+++ b/src/node/table_follower.cc
@@ -18,6 +18,8 @@
 /// Pause after a failed call, doubled with each further one.
 constexpr Duration kFirstRetry = milliseconds(150);
 constexpr Duration kLongestRetry = milliseconds(800);
+/// A call that is younger may have been made on a connection that works.
+constexpr Duration kRenewAfter = milliseconds(1000);
 
 }  // namespace
 
@@ -31,19 +33,34 @@
 void TableFollower::CheckTime(Instant now) {
   if (this->calling || now < this->next_call) return;
   this->calling = true;
-  if (!this->listed) {
-    this->store.List(this->table, [this](const store::RowsReply& reply) {
+  this->called_at = now;
+  this->call += 1;
+  const auto on_reply = [this,
+                         number = this->call](const store::RowsReply& reply) {
+    if (number != this->call) return;
+    this->calling = false;
+    if (this->listed) {
+      this->OnChanges(reply);
+    } else {
       this->OnList(reply);
-    });
+    }
+  };
+  if (this->listed) {
+    this->store.Follow(this->table, this->copy.Version(), this->wait, on_reply);
   } else {
-    this->store.Follow(
-        this->table, this->copy.Version(), this->wait,
-        [this](const store::RowsReply& reply) { this->OnChanges(reply); });
+    this->store.List(this->table, on_reply);
   }
 }
 
-void TableFollower::OnList(const store::RowsReply& reply) {
+void TableFollower::Renew(Instant now) {
+  if (!this->calling || now < this->called_at + kRenewAfter) return;
+  observe::LogInfo("store_call_renewed", {{"table", this->table}});
+  this->call += 1;
   this->calling = false;
+  this->next_call = now;
+}
+
+void TableFollower::OnList(const store::RowsReply& reply) {
   if (reply.status != store::StoreStatus::kDone) {
     this->OnFailure(reply.status);
     return;
@@ -57,7 +74,6 @@
 }
 
 void TableFollower::OnChanges(const store::RowsReply& reply) {
-  this->calling = false;
   if (reply.status == store::StoreStatus::kHistoryGone) {
     observe::LogInfo("store_history_gone", {{"table", this->table}});
     this->listed = false;
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -5,6 +5,7 @@
 #ifndef CHERVILMUX_NODE_TABLE_FOLLOWER_H_
 #define CHERVILMUX_NODE_TABLE_FOLLOWER_H_
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -31,6 +32,10 @@
   /// Starts a call when one is due. Call every few milliseconds.
   void CheckTime(kernel::Instant now);
 
+  /// The store's connections are suspect: a call that has been out for long
+  /// is given up and made again, and its answer is no longer awaited.
+  void Renew(kernel::Instant now);
+
   /// Takes in what a peer knows.
   void ApplyFromPeer(const TableChanges& changes);
 
@@ -55,6 +60,8 @@
   replica::RowReplica copy;
   bool listed = false;
   bool calling = false;
+  std::uint64_t call = 0;  ///< Number of the last one; older ones are given up.
+  kernel::Instant called_at = kernel::kNever;
   unsigned failures = 0;
   kernel::Instant next_call = kernel::kNever;
   kernel::Instant heard_at = kernel::kNever;
--- a/src/policy/server_loads.cc
+++ b/src/policy/server_loads.cc
@@ -44,7 +44,7 @@
     : own_failure_domain(std::move(own_failure_domain)), tuning(tuning) {}
 
 void ServerLoads::Update(std::span<const model::BackendServer> listed,
-                         Instant now) {
+                         Instant unchanged_until, Instant now) {
   std::map<std::string, Server, std::less<>> next;
   for (const auto& entry : listed) {
     const auto known = this->servers.find(entry.id);
@@ -57,12 +57,10 @@
     } else {
       server.warm_at = now + entry.warm_up_left;
     }
-    server.listed = entry;
-    if (!entry.draining) {
-      server.draining_since = kernel::kNever;
-    } else if (server.draining_since == kernel::kNever) {
-      server.draining_since = now;
+    if (entry.draining && !server.listed.draining) {
+      server.draining_since = unchanged_until;
     }
+    server.listed = entry;
   }
   this->servers = std::move(next);
 }
@@ -125,9 +123,11 @@
 
 Duration ServerLoads::DrainingFor(std::string_view id, Instant now) const {
   const auto found = this->servers.find(id);
-  const bool drains = found != this->servers.end() &&
-                      found->second.draining_since != kernel::kNever;
-  return drains ? now - found->second.draining_since : Duration(0);
+  if (found == this->servers.end() || !found->second.listed.draining) {
+    return Duration(0);
+  }
+  const Instant since = found->second.draining_since;
+  return since == kernel::kNever ? Duration::max() : now - since;
 }
 
 ServerLoads::Usable ServerLoads::UsableServers(
--- a/src/policy/server_loads.h
+++ b/src/policy/server_loads.h
@@ -87,9 +87,10 @@
   explicit ServerLoads(std::string own_failure_domain,
                        const ServerLoadsTuning& tuning = {});
 
-  /// Takes in the list of the service's servers.
+  /// Takes in the list of the service's servers. The list before was surely
+  /// true until `unchanged_until`; kNever when that is unknown.
   void Update(std::span<const model::BackendServer> servers,
-              kernel::Instant now);
+              kernel::Instant unchanged_until, kernel::Instant now);
 
   /// The server that should get the next request, or nothing when each usable
   /// one is full. `tried` lists servers that this request has been to.
@@ -115,7 +116,7 @@
   /// Whether `id` is set aside after failures.
   bool SetAside(std::string_view id, kernel::Instant now) const;
 
-  /// For how long `id` has been known to drain; zero when it does not.
+  /// For how long `id` may have been draining; zero when it does not.
   kernel::Duration DrainingFor(std::string_view id, kernel::Instant now) const;
 
   void OnSent(std::string_view id);
@@ -153,6 +154,7 @@
     unsigned failures_in_row = 0;
     kernel::Instant set_aside_until = kernel::kNever;
     kernel::Instant warm_at = kernel::kNever;
+    /// The earliest moment; kNever with `listed.draining`: unknown.
     kernel::Instant draining_since = kernel::kNever;
   };
 
--- a/test/correctness/replica_test.cc
+++ b/test/correctness/replica_test.cc
@@ -98,22 +98,23 @@
 TEST_CASE("servers that vanish from the list") {
   node::ServerList list;
   const Instant start(seconds(100));
-  list.Update(Listed({"a", "b", "c", "d", "e", "f"}), start);
+  list.Update(Listed({"a", "b", "c", "d", "e", "f"}), start, start);
   CHECK(list.Refresh(start));
   GIVEN("one that had announced that it leaves") {
     auto rows = Listed({"a", "b", "c", "d", "e", "f"});
     rows["a"].draining = true;
-    list.Update(rows, start + seconds(1));
+    list.Update(rows, start + seconds(1), start + seconds(1));
     list.Refresh(start + seconds(1));
     rows.erase("a");
-    list.Update(rows, start + seconds(2));
+    list.Update(rows, start + seconds(2), start + seconds(2));
     THEN("it is out at once") {
       CHECK(list.Refresh(start + seconds(2)));
       CHECK_FALSE(list.InUse().contains("a"));
     }
   }
   GIVEN("one that had not") {
-    list.Update(Listed({"b", "c", "d", "e", "f"}), start + seconds(1));
+    list.Update(Listed({"b", "c", "d", "e", "f"}), start + seconds(1),
+                start + seconds(1));
     THEN("it is out within 1 s, also while some instance has no store") {
       for (int ms = 1000; ms < 3000; ms += 100) {
         list.NoteStoreTrouble(start + milliseconds(ms));
@@ -124,13 +125,25 @@
       CHECK_FALSE(list.InUse().contains("a"));
     }
   }
+  GIVEN("one of which an instance hears 1.5 s late") {
+    list.Update(Listed({"b", "c", "d", "e", "f"}), start,
+                start + milliseconds(1500));
+    THEN("it is out 1.6 s after it may have left") {
+      list.Refresh(start + milliseconds(1550));
+      CHECK(list.InUse().contains("a"));
+      list.Refresh(start + milliseconds(1600));
+      CHECK_FALSE(list.InUse().contains("a"));
+    }
+  }
   GIVEN("most of them after an outage of the store") {
     list.NoteStoreTrouble(start + seconds(5));
-    list.Update(Listed({"e", "f"}), start + milliseconds(5200));
+    list.Update(Listed({"e", "f"}), start + milliseconds(5200),
+                start + milliseconds(5200));
     THEN("they stay until they must be back") {
       list.Refresh(start + milliseconds(7000));
       CHECK(list.InUse().size() == 6);
-      list.Update(Listed({"a", "e", "f"}), start + milliseconds(7100));
+      list.Update(Listed({"a", "e", "f"}), start + milliseconds(7100),
+                  start + milliseconds(7100));
       list.Refresh(start + milliseconds(7400));
       CHECK(list.InUse().size() == 3);
     }
--- a/test/correctness/server_loads_test.cc
+++ b/test/correctness/server_loads_test.cc
@@ -35,7 +35,7 @@
     for (const char* id : {"f1", "f2", "f3", "f4"}) {
       this->servers.push_back(MakeServer(id, "far"));
     }
-    this->loads.Update(this->servers, this->now);
+    this->loads.Update(this->servers, this->now, this->now);
   }
 
   std::optional<std::string> Choose(std::vector<std::string> tried = {}) {
@@ -124,9 +124,26 @@
   }
   SUBCASE("servers that drain get nothing") {
     for (auto& server : service.servers) server.draining = server.id != "f3";
-    service.loads.Update(service.servers, service.now);
+    service.loads.Update(service.servers, service.now, service.now);
     CHECK(service.Choose() == "f3");
   }
+  SUBCASE("a server may have drained since it was last known not to") {
+    const Instant known = service.now;
+    service.now += milliseconds(1500);
+    service.servers[0].draining = true;
+    service.loads.Update(service.servers, known, service.now);
+    CHECK(service.loads.DrainingFor("n1", service.now) == milliseconds(1500));
+    service.now += milliseconds(100);
+    service.loads.Update(service.servers, service.now, service.now);
+    CHECK(service.loads.DrainingFor("n1", service.now) == milliseconds(1600));
+  }
+  SUBCASE("one that is new and drains may have done so for ever") {
+    service.servers[0].draining = true;
+    ServerLoads started("near");
+    started.Update(service.servers, kernel::kNever, service.now);
+    CHECK(started.DrainingFor("n1", service.now) > seconds(1000));
+    CHECK(started.DrainingFor("n2", service.now) == Duration(0));
+  }
   SUBCASE("with all servers full there is no choice") {
     for (const auto& server : service.servers) {
       for (int i = 0; i < 8; ++i) service.loads.OnSent(server.id);
@@ -210,7 +227,7 @@
       MakeServer("slow", "near"), MakeServer("usual", "near"),
       MakeServer("quick", "near")};
   Instant now(seconds(1));
-  loads.Update(servers, now);
+  loads.Update(servers, now, now);
   const auto answer = [&](const char* id, int work_ms) {
     loads.OnSent(id);
     now += milliseconds(work_ms);
@@ -238,7 +255,7 @@
   const std::vector<model::BackendServer> servers = {
       MakeServer("owner", "near")};
   Instant now(seconds(1));
-  loads.Update(servers, now);
+  loads.Update(servers, now, now);
   ServiceRate own_answers;
   for (int i = 0; i < 20; ++i) {
     now += seconds(1);
--- a/test/scenario/crossing_test.cc
+++ b/test/scenario/crossing_test.cc
@@ -66,7 +66,7 @@
     for (const auto& domain : kDomains) {
       for (int i = 0; i < kInstancesPerDomain; ++i) {
         auto& loads = this->instances[domain].emplace_back(domain, tuning);
-        loads.Update(listed, Instant(kernel::seconds(1)));
+        loads.Update(listed, kernel::kNever, Instant(kernel::seconds(1)));
       }
     }
   }
