After a stop, callers that send ahead no longer keep their connections to the end

Only the last pending answer of a connection asks to close, so that no read request counts as unread; a caller that always has another request under way never got there. Change: once accepting has stopped, requests behind pending ones stay unread; their caller sends them elsewhere. Test: data_path_test, fails first (the fourth request was read, the connection stayed open).

--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -183,7 +183,11 @@
 
   /// Returns whether another request may be waiting in the buffer.
   bool ReadRequest() {
-    if (this->retired || this->ending || this->slots.size() >= kMaxPipelined) {
+    // After a stop what comes behind pending requests stays unread, or a caller
+    // that always sends ahead would keep its connection to the end.
+    const bool stays_unread = this->owner.stopped && !this->slots.empty();
+    if (this->retired || this->ending || stays_unread ||
+        this->slots.size() >= kMaxPipelined) {
       return false;
     }
     const auto state = this->reader.Advance();
--- a/test/correctness/data_path_test.cc
+++ b/test/correctness/data_path_test.cc
@@ -35,6 +35,10 @@
     to.sin_port = htons(address.port);
     REQUIRE(connect(this->descriptor, reinterpret_cast<sockaddr*>(&to),
                     sizeof(to)) == 0);
+    // A caller that waits in vain gives up instead of hanging the test.
+    const timeval patience{20, 0};
+    setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &patience,
+               sizeof(patience));
   }
   ~Caller() { this->Close(); }
   void Close() {
@@ -236,6 +240,21 @@
     CHECK(got.find("Connection: close") > got.find("two"));
     CHECK(got.find("Connection: close") != std::string::npos);
   }
+  SUBCASE("does not keep its connection open past a stop by sending more") {
+    front.Do([&] {
+      front.front->CloseAfterAnswers();
+      front.front->StopAccepting();
+    });
+    caller.Send(Get("/4"));
+    front.Answer("/1", "one");
+    front.Answer("/2", "two");
+    front.Answer("/3", "three");
+    // An open connection would leave the caller waiting for its fourth answer.
+    const std::string got = caller.ReadUntil("never");
+    CHECK(got.ends_with("three"));
+    CHECK(got.find("Connection: close") != std::string::npos);
+    CHECK_FALSE(front.refs.contains("/4"));
+  }
 }
 
 TEST_CASE("a caller that leaves is noticed while its request is pending") {
