The log tells until when a lost owner holds its keys

Test: platform_Explained fails first (no such line); Explained and Owners (11 tests) and test-ranges pass.

--- a/src/node/key_service.cc
+++ b/src/node/key_service.cc
@@ -67,6 +67,7 @@
   if (actions.read) this->Read();
   if (actions.write) this->Write(*actions.write);
   for (const auto& order : actions.orders) this->SendOrder(order);
+  for (const auto& notice : actions.lapses) this->LogLapse(notice, now);
   if (actions.publish) {
     const auto delta = ranges::DiffTables(this->owners, this->grantor.View());
     this->owners = this->grantor.View();
@@ -82,6 +83,18 @@
                    {{"service", this->name}});
 }
 
+void KeyService::LogLapse(const ranges::LapseNotice& notice, Instant now) {
+  const bool over = notice.lapses_at <= now;
+  const auto left = over ? kernel::Duration(0) : notice.lapses_at - now;
+  observe::LogInfo("owner_lapses",
+                   {{"service", this->name},
+                    {"server", notice.server},
+                    {"first", std::to_string(notice.first)},
+                    {"last", std::to_string(notice.last)},
+                    {"free_in_ms", std::to_string(kernel::ToMs(left))},
+                    {"why", std::string(notice.why)}});
+}
+
 void KeyService::OnView(const ranges::RangeTable& view, bool from_leader) {
   const bool newer = view.IsAfter(this->owners);
   if (from_leader && !this->owners.IsAfter(view)) {
--- a/src/node/key_service.h
+++ b/src/node/key_service.h
@@ -60,6 +60,7 @@
   void Read();
   void OnRead(const store::RowsReply& leases, const store::RowsReply& tables);
   void LogLeadership();
+  void LogLapse(const ranges::LapseNotice& notice, kernel::Instant now);
 
   const Formats& formats;
   store::MetadataStore& store;
--- a/src/observe/trace.cc
+++ b/src/observe/trace.cc
@@ -19,6 +19,12 @@
   return event == "refused" || event == "answered";
 }
 
+/// Whether `event` is about who owns keys.
+bool TellsOfOwners(std::string_view event) {
+  return event == "grant" || event == "release" || event == "leads_owners" ||
+         event == "owner_lapses";
+}
+
 /// A key in a range, or the end of one; logs may hold any text there.
 std::optional<unsigned long> ToNumber(const std::string& text) {
   const bool digits =
@@ -62,7 +68,7 @@
     this->service = kernel::StringOr(json, "service", this->service);
     return;
   }
-  if (event != "grant" && event != "release" && event != "leads_owners") return;
+  if (!TellsOfOwners(event)) return;
   constexpr unsigned long kAnyKey = 1'000'000'000;
   this->owner_lines.push_back(
       {MakeLine(json), kernel::StringOr(json, "service"),
--- a/src/ranges/range_grantor.cc
+++ b/src/ranges/range_grantor.cc
@@ -121,6 +121,7 @@
   this->role = Role::kFollower;
   this->pending.reset();
   this->sent_orders.clear();
+  this->new_lapses.clear();
   this->pieces.clear();
   this->reading = false;
   this->next_read = now;
@@ -140,6 +141,7 @@
     this->FollowerTick(now, actions);
   } else {
     this->LeaderTick(now, actions);
+    actions.lapses = std::exchange(this->new_lapses, {});
   }
   return actions;
 }
--- a/src/ranges/range_grantor.h
+++ b/src/ranges/range_grantor.h
@@ -101,6 +101,16 @@
   std::uint64_t count = 0;  ///< Makes each write a different one.
 };
 
+/// Keys whose owner holds them no longer, or only until its lease has run out;
+/// for the log.
+struct LapseNotice {
+  std::string server;
+  Key first = 0;
+  Key last = 0;
+  kernel::Instant lapses_at;  ///< kNever: it holds them no longer.
+  std::string_view why;
+};
+
 /// What the grantor wants done. Empty members mean nothing to do.
 struct GrantorActions {
   std::vector<RangeOrder> orders;
@@ -114,6 +124,7 @@
   std::optional<Write> write;
   bool read = false;     ///< Read the lease row and the table row.
   bool publish = false;  ///< Tell all instances View().
+  std::vector<LapseNotice> lapses;
 };
 
 /// Rows of lease and table as read; version 0 for a row that is missing.
@@ -242,7 +253,8 @@
                                  kernel::Instant now) const;
   void CheckOwners(kernel::Instant now);
   void LetGo(Piece& piece, kernel::Instant now);
-  void OnLapse(Piece& piece);
+  void AwaitLapse(Piece& piece, std::string_view why);
+  void OnLapse(Piece& piece, std::string_view why);
   void NoteReply(ServerState& server, OrderEnd end, kernel::Instant now);
   void OnGrantReply(Piece& piece, const SentOrder& sent,
                     const OrderReply& reply, kernel::Instant now);
@@ -294,6 +306,7 @@
   std::optional<Pending> pending;
   std::map<std::uint64_t, SentOrder> sent_orders;
   std::uint64_t last_order = 0;
+  std::vector<LapseNotice> new_lapses;  ///< Since the last Tick().
   LoadMap load;
   kernel::Instant next_plan = kernel::kNever;
   kernel::Instant next_balance = kernel::kNever;
--- a/src/ranges/range_grantor_orders.cc
+++ b/src/ranges/range_grantor_orders.cc
@@ -25,9 +25,13 @@
 /// A server that failed an order gets no new keys for this long.
 constexpr Duration kAvoidTime = milliseconds(1500);
 
+constexpr std::string_view kLeaseOver = "the owner's lease has run out";
+
 }  // namespace
 
-void RangeGrantor::OnLapse(Piece& piece) {
+void RangeGrantor::OnLapse(Piece& piece, std::string_view why) {
+  this->new_lapses.push_back({piece.range.owner, piece.range.first,
+                              piece.range.last, kernel::kNever, why});
   piece.phase = Phase::kFree;
   piece.granted = false;
   // Its next grant, if any, is a new beginning.
@@ -35,6 +39,12 @@
   if (owner != nullptr) owner->failed_in_row = 0;
 }
 
+void RangeGrantor::AwaitLapse(Piece& piece, std::string_view why) {
+  piece.phase = Phase::kLapsing;
+  this->new_lapses.push_back({piece.range.owner, piece.range.first,
+                              piece.range.last, piece.lapses_at, why});
+}
+
 /// The owner must stop: ask it if it may be asked.
 void RangeGrantor::LetGo(Piece& piece, Instant now) {
   const ServerState* owner = this->FindServer(piece.range.owner);
@@ -45,7 +55,7 @@
     piece.phase = Phase::kReleasing;
     piece.next_order = now;
   } else if (piece.granted || piece.lapses_at != kernel::kNever) {
-    piece.phase = Phase::kLapsing;
+    this->AwaitLapse(piece, "the owner cannot be asked");
   } else {
     piece.phase = Phase::kFree;
   }
@@ -60,7 +70,7 @@
     if (other_life) {
       // The life that held the keys has ended. Its successor at the address
       // may have taken a renewal, so that it gets them first.
-      this->OnLapse(piece);
+      this->OnLapse(piece, "a later life of the owner is listed");
       if (owner->Usable()) piece.target = piece.range.owner;
       continue;
     }
@@ -69,18 +79,20 @@
       const bool failing = owner == nullptr || owner->gone ||
                            piece.failed_orders >= kFirstGrantLimit;
       if (over && failing) {
-        this->OnLapse(piece);
+        this->OnLapse(piece, kLeaseOver);
       } else if (owner != nullptr && owner->failed_in_row >= kUnansweredLimit) {
-        piece.phase = Phase::kLapsing;
+        this->AwaitLapse(piece, "the owner does not answer orders");
       }
       continue;
     }
-    if (over) this->OnLapse(piece);
+    if (over) this->OnLapse(piece, kLeaseOver);
     const bool asked_in_vain =
         piece.phase == Phase::kReleasing &&
         (owner == nullptr ||
          (owner->gone && now - owner->gone_since >= kReleaseAfterGone));
-    if (asked_in_vain) piece.phase = Phase::kLapsing;
+    if (asked_in_vain) {
+      this->AwaitLapse(piece, "the owner has gone before it let go");
+    }
   }
   std::erase_if(this->servers, [now](const auto& entry) {
     constexpr Duration kForgetAfter = kernel::seconds(60);
@@ -366,8 +378,8 @@
   piece.granted = false;
   if (now < piece.uncertain_until) {
     // An order without an answer may be carried out after the release.
-    piece.phase = Phase::kLapsing;
     piece.lapses_at = piece.uncertain_until;
+    this->AwaitLapse(piece, "an earlier order got no answer");
   } else {
     piece.phase = Phase::kFree;
   }
--- a/test/processes/platform_test.py
+++ b/test/processes/platform_test.py
@@ -230,6 +230,12 @@
         self.assertIn("orders about the owner of key 100", text)
         self.assertIn("leads_owners", text)
 
+        def lapse_is_told():
+            self.nodes[1].call(path="/keyed/k", key=100, request_id="e-4")
+            _, text = self.explain("e-4")
+            return '"event":"owner_lapses"' in text
+        eventually(lapse_is_told, "until when the lost owner holds its keys")
+
     def test_an_id_that_no_log_holds(self):
         done = subprocess.run(
             [program("chervilmux"), "trace", "e-none",
