Callers' connections are bounded: idle ones make room, accepting never spins

Ruled out: servers' connections, which their own limits bound to some 400 an instance; callers come back on a new connection each time and leave the old ones idle. Change: HttpFront has a limit (0.6 of the descriptors of the settings).

--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -7,6 +7,7 @@
 #include <http_parser.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <map>
@@ -31,6 +32,8 @@
 /// with unread bytes would reset it and could destroy the last answer.
 constexpr kernel::Duration kLingerTime = kernel::seconds(2);
 constexpr int kListenBacklog = 1024;
+/// One in so many connections is closed at a time to make room.
+constexpr std::size_t kClosedTogether = 50;
 
 /// One request whose answer is due, in the order of arrival.
 struct Slot {
@@ -78,6 +81,10 @@
 
   void Bury(std::uint64_t id);
   void Sweep();
+  bool HasRoom() const {
+    return this->connections.size() < this->limits.max_connections;
+  }
+  void CloseIdlest();
 
   kernel::ReactorTask& task;
   FrontEvents events;
@@ -164,6 +171,13 @@
     }
   }
 
+  bool IsIdle() const {
+    return this->slots.empty() && this->output.empty() && !this->ending &&
+           !this->reader.InMessage();
+  }
+  Instant IdleUntil() const { return this->idle_until; }
+  void CloseIdle() { this->BeginLinger(); }
+
   void SetLimits(const ReadLimits& limits) { this->reader.SetLimits(limits); }
 
   /// Leaves the reactor and closes; the object may still be on the call stack.
@@ -300,7 +314,8 @@
   std::deque<Slot> slots;
   std::uint64_t last_sequence = 0;
   std::string output;
-  OutputWatch output_watch{this->owner.task.Reactor(), *this, false};
+  EventWatch output_watch{this->owner.task.Reactor(), *this,
+                          ACE_Event_Handler::WRITE_MASK, false};
   bool ending = false;  ///< Reads no further request.
   bool close_when_flushed = false;
   bool lingering = false;
@@ -316,8 +331,7 @@
   explicit Acceptor(Impl& owner) : owner(owner) {}
   ~Acceptor() override {
     if (this->socket.get_handle() == ACE_INVALID_HANDLE) return;
-    this->owner.task.Reactor().remove_handler(
-        this, ACE_Event_Handler::ACCEPT_MASK | ACE_Event_Handler::DONT_CALL);
+    this->watch.Set(false);
     this->socket.close();
   }
 
@@ -327,15 +341,21 @@
       return false;
     }
     this->socket.enable(ACE_NONBLOCK);
-    this->owner.task.Reactor().register_handler(this,
-                                                ACE_Event_Handler::ACCEPT_MASK);
+    this->watch.Set(true);
     return true;
   }
 
   ACE_HANDLE get_handle() const override { return this->socket.get_handle(); }
 
+  /// Takes connections again after a pause.
+  void Resume() { this->watch.Set(true); }
+
   int handle_input(ACE_HANDLE /*handle*/) override {
-    for (;;) {
+    if (!this->owner.HasRoom()) {
+      this->owner.CloseIdlest();
+      this->watch.Set(false);  // Until a connection has closed.
+    }
+    while (this->owner.HasRoom()) {
       const int handle = accept4(this->socket.get_handle(), nullptr, nullptr,
                                  SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (handle < 0 && errno == EINTR) continue;
@@ -343,6 +363,8 @@
         if (errno != EWOULDBLOCK && errno != ECONNABORTED) {
           observe::LogError("accept_failed",
                             {{"errno", std::to_string(errno)}});
+          // Trying again at once would fail again: the next sweep does.
+          this->watch.Set(false);
         }
         return 0;
       }
@@ -350,13 +372,29 @@
       this->owner.connections[id] =
           std::make_unique<Connection>(this->owner, id, handle);
     }
+    return 0;
   }
 
  private:
   Impl& owner;
   ACE_SOCK_Acceptor socket;
+  EventWatch watch{this->owner.task.Reactor(), *this,
+                   ACE_Event_Handler::ACCEPT_MASK, false};
 };
 
+/// Closes the connections that are idle for longest: a few at a time, since
+/// finding them takes a look at all.
+void HttpFront::Impl::CloseIdlest() {
+  std::vector<Connection*> idle;
+  for (const auto& [id, connection] : this->connections) {
+    if (connection->IsIdle()) idle.push_back(connection.get());
+  }
+  std::ranges::sort(idle, {}, &Connection::IdleUntil);
+  const std::size_t few = this->limits.max_connections / kClosedTogether + 1;
+  if (idle.size() > few) idle.resize(few);
+  for (Connection* connection : idle) connection->CloseIdle();
+}
+
 void HttpFront::Impl::Bury(std::uint64_t id) {
   const auto found = this->connections.find(id);
   if (found == this->connections.end()) return;
@@ -367,6 +405,7 @@
   }
   this->closed->push_back(std::move(found->second));
   this->connections.erase(found);
+  if (this->acceptor) this->acceptor->Resume();
 }
 
 void HttpFront::Impl::Sweep() {
@@ -377,6 +416,7 @@
     all.push_back(connection.get());
   }
   for (Connection* connection : all) connection->CheckTime(now);
+  if (this->acceptor) this->acceptor->Resume();
 }
 
 HttpFront::HttpFront(kernel::ReactorTask& task, FrontEvents events)
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -34,6 +34,9 @@
 
 struct FrontLimits {
   ReadLimits read;
+  /// Connections open at a time. Beyond it the ones that are idle for longest
+  /// are closed; where none is idle, new ones wait to be accepted.
+  std::size_t max_connections = 2000;
   /// Longest time from the first byte of a request to its last.
   kernel::Duration request_timeout = kernel::seconds(3);
   kernel::Duration idle_timeout = kernel::seconds(15);
--- a/src/net/server_links.cc
+++ b/src/net/server_links.cc
@@ -326,7 +326,8 @@
   std::size_t sent_bytes = 0;
   Instant connect_deadline;
   bool connecting = false;
-  OutputWatch output_watch{this->owner.task.Reactor(), *this, true};
+  EventWatch output_watch{this->owner.task.Reactor(), *this,
+                          ACE_Event_Handler::WRITE_MASK, true};
   bool write_failed = false;
   bool tainted = false;  ///< Carried an answer of another request.
   bool retired = false;
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -47,16 +47,14 @@
   }
 }
 
-void OutputWatch::Set(bool watch) {
+void EventWatch::Set(bool watch) {
   if (watch == this->watching) return;
   this->watching = watch;
   if (watch) {
-    this->reactor.register_handler(&this->handler,
-                                   ACE_Event_Handler::WRITE_MASK);
+    this->reactor.register_handler(&this->handler, this->mask);
   } else {
-    this->reactor.remove_handler(
-        &this->handler,
-        ACE_Event_Handler::WRITE_MASK | ACE_Event_Handler::DONT_CALL);
+    this->reactor.remove_handler(&this->handler,
+                                 this->mask | ACE_Event_Handler::DONT_CALL);
   }
 }
 
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -26,19 +26,21 @@
 /// but hangs for longer.
 void TuneConnection(int descriptor);
 
-/// Asks the reactor to tell when a registered handler's socket takes bytes, as
-/// long as some wait to be written.
-class OutputWatch {
+/// Asks the reactor for one kind of event at a handler's socket, as long as the
+/// handler wants it: that the socket takes bytes, or has a new connection.
+class EventWatch {
  public:
-  /// `watching`: the handler is registered for output already.
-  OutputWatch(ACE_Reactor& reactor, ACE_Event_Handler& handler, bool watching)
-      : reactor(reactor), handler(handler), watching(watching) {}
+  /// `watching`: the handler is registered for `mask` already.
+  EventWatch(ACE_Reactor& reactor, ACE_Event_Handler& handler,
+             ACE_Reactor_Mask mask, bool watching)
+      : reactor(reactor), handler(handler), mask(mask), watching(watching) {}
 
   void Set(bool watch);
 
  private:
   ACE_Reactor& reactor;
   ACE_Event_Handler& handler;
+  ACE_Reactor_Mask mask;
   bool watching;
 };
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -33,6 +33,10 @@
 /// Left of the grace when the process ends by itself.
 constexpr Duration kStopReserve = milliseconds(300);
 
+/// Share of the descriptors that callers may use. The others are for servers,
+/// which bound their connections themselves, peers, the store and files.
+constexpr double kCallersShareOfDescriptors = 0.6;
+
 constexpr std::string_view kMetricsPath = "/metrics";
 constexpr std::string_view kStatusPath = "/status";
 
@@ -232,6 +236,9 @@
   front_limits.read = {limits.max_head_bytes, limits.max_body_bytes};
   front_limits.request_timeout = limits.head_timeout;
   front_limits.idle_timeout = limits.idle_timeout;
+  front_limits.max_connections = static_cast<std::size_t>(
+      kCallersShareOfDescriptors *
+      static_cast<double>(this->settings.max_descriptors));
   this->callers->SetLimits(front_limits);
   this->dispatcher->SetConfiguration(this->configuration);
   this->UpdateKeyServices();
@@ -472,6 +479,8 @@
 std::string Node::MetricsText() {
   this->metrics.Count("chervilmux_open_requests")
       .SetTo(this->dispatcher->Open());
+  this->metrics.Count("chervilmux_caller_connections")
+      .SetTo(this->callers->Connections());
   this->metrics.Count("chervilmux_server_connections_opened_total")
       .SetTo(this->links.Opened());
   for (const auto& [name, service] : this->key_services) {
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -4,6 +4,7 @@
 #ifndef CHERVILMUX_NODE_NODE_SETTINGS_H_
 #define CHERVILMUX_NODE_NODE_SETTINGS_H_
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,7 @@
   /// Bounds on requests sent to a second server, over all instances.
   double repeat_ratio = 0.2;
   double repeat_slack = 50;
+  std::size_t max_descriptors = 4096;  ///< Files and sockets of this process.
   kernel::Duration longest_hold = kernel::seconds(10);  ///< Of a grant.
   /// From the stop signal until the process is killed.
   kernel::Duration stop_grace = kernel::seconds(6);
--- a/test/correctness/data_path_test.cc
+++ b/test/correctness/data_path_test.cc
@@ -101,6 +101,11 @@
     });
     done.get_future().get();
   }
+  std::size_t Requests() {
+    std::size_t count = 0;
+    this->Do([&] { count = this->refs.size(); });
+    return count;
+  }
   void Answer(const std::string& url, const std::string& body) {
     this->Do([&] {
       HttpAnswer answer;
@@ -257,6 +262,38 @@
   }
 }
 
+TEST_CASE("more callers than connections") {
+  Front front;
+  FrontLimits limits;
+  limits.max_connections = 2;
+  front.Do([&] { front.front->SetLimits(limits); });
+  Caller first(front.address);
+  first.Send(Get("/1"));
+  front.arrived.get_future().get();
+  SUBCASE("the connection that is idle for longest makes room") {
+    front.Answer("/1", "one");
+    CHECK(first.ReadUntil("one").ends_with("one"));
+    Caller second(front.address);
+    Caller third(front.address);
+    third.Send(Get("/3"));
+    CHECK(first.ReadUntil("never").empty());
+    front.Do([&] { CHECK(front.front->Connections() <= 2); });
+  }
+  SUBCASE("where none is idle the next one waits until one has its answer") {
+    Caller second(front.address);
+    second.Send(Get("/2"));
+    while (front.Requests() < 2) std::this_thread::yield();
+    Caller third(front.address);
+    third.Send(Get("/3"));
+    front.Do([&] { CHECK(front.front->Connections() == 2); });
+    front.Answer("/1", "one");
+    while (front.Requests() < 3) std::this_thread::yield();
+    CHECK(first.ReadUntil("never").ends_with("one"));
+    front.Answer("/3", "three");
+    CHECK(third.ReadUntil("three").ends_with("three"));
+  }
+}
+
 TEST_CASE("a caller that leaves is noticed while its request is pending") {
   Front front;
   Caller caller(front.address);
--- a/test/scenario/crossing_test.cc
+++ b/test/scenario/crossing_test.cc
@@ -76,11 +76,13 @@
     std::exponential_distribution<double> gap(share * kAllSlots / kWorkS);
     std::uniform_int_distribution<std::size_t> domain(0, kDomains.size() - 1);
     std::uniform_int_distribution<int> instance(0, kInstancesPerDomain - 1);
-    for (double at = 1; at < kPlayS; at += gap(this->random)) {
+    double at = 1;
+    while (at < kPlayS) {
       this->At(at, [this, domain = kDomains[domain(this->random)],
                     number = instance(this->random)] {
         this->Ask(domain, this->instances.at(domain)[number]);
       });
+      at += gap(this->random);
     }
     while (!this->events.empty()) {
       const auto event = this->events.begin();
