--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -62,7 +62,8 @@
   void SetFront(net::HttpFront& new_front) { this->front = &new_front; }
 
   void SetConfiguration(std::shared_ptr<const model::Configuration> config);
-  /// The servers before were surely all until `unchanged_until`.
+  /// The directory before this one is known to have been right until
+  /// `unchanged_until`; kNever when that is unknown.
   void SetServers(ServerDirectory new_directory,
                   kernel::Instant unchanged_until);
   void SetOwners(const ranges::RangeTable& table);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -126,7 +126,7 @@
   kernel::Instant next_register = kernel::kNever;
   bool registering = false;
   bool registered = false;
-  /// The servers in use were surely all until then.
+  /// Until when the servers in use are known to have been the right ones.
   kernel::Instant servers_true_until = kernel::kNever;
   kernel::Instant store_trouble_at = kernel::kNever;
   std::optional<kernel::Instant> stop_began;
--- a/src/node/server_list.cc
+++ b/src/node/server_list.cc
@@ -13,9 +13,9 @@
 /// A server that vanishes without having announced it stays in use so long:
 /// an outage of the store may become known only after its first news.
 constexpr Duration kUnannouncedGrace = milliseconds(800);
-/// But it may have left since the list was last known to be true, and 2 s after
-/// that nothing may go there; 0.4 s of them are for changes that a reader
-/// gathers and for the way to the server.
+/// But it may have left as soon as the list was last known to be right, and 2 s
+/// after it left nothing may go there. 0.4 s of them are for changes that a
+/// reader of the store gathers and for the way to the server.
 constexpr Duration kLeftServerLimit = milliseconds(1600);
 /// An outage of the whole store makes many rows run out together. One that only
 /// some instances notice does not, and must not keep servers that have left.
--- a/src/node/server_list.h
+++ b/src/node/server_list.h
@@ -22,8 +22,8 @@
 
 class ServerList {
  public:
-  /// Takes in the rows as they are now. The rows before were surely true until
-  /// `unchanged_until`; kNever when that is unknown.
+  /// Takes in the rows as they are now. The rows before are known to have been
+  /// right until `unchanged_until`; kNever when that is unknown.
   void Update(const ServersById& rows, kernel::Instant unchanged_until,
               kernel::Instant now);
 
--- a/src/policy/server_loads.h
+++ b/src/policy/server_loads.h
@@ -87,8 +87,8 @@
   explicit ServerLoads(std::string own_failure_domain,
                        const ServerLoadsTuning& tuning = {});
 
-  /// Takes in the list of the service's servers. The list before was surely
-  /// true until `unchanged_until`; kNever when that is unknown.
+  /// Takes in the list of the service's servers. The list before is known to
+  /// have been right until `unchanged_until`; kNever when that is unknown.
   void Update(std::span<const model::BackendServer> servers,
               kernel::Instant unchanged_until, kernel::Instant now);
 
