A key that its owner disowns is not sent there again until the owners change

Ruled out: the budget of the service that was called (its own repeats were few) and the shares of the instances. Change: after the answer that a server does not own the key, the request waits for newer owners as before, but the same grant is not tried again: it is refused at once. Test: platform_BadServers fails first (five sends instead of one). BadServers, Owners and Explained pass.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -263,6 +263,11 @@
                                      "the key is still moving")
                      : Placement();
   }
+  // The same grant would be disowned again, or its address is another server's.
+  if (job.disowned_fence == range->fence) {
+    return Placement::No(ErrorKind::kServerFenced,
+                         "the key's owner says that it does not own it");
+  }
   const auto listed = this->by_id.find(range->owner);
   if (listed == this->by_id.end()) {
     return Placement::No(ErrorKind::kNoOwner,
@@ -276,8 +281,9 @@
     return Placement::No(ErrorKind::kServerConnect,
                          "the key's owner cannot be reached");
   }
-  return state.loads.HasRoom(range->owner, now) ? Placement::To(range->owner)
-                                                : Placement();
+  if (!state.loads.HasRoom(range->owner, now)) return {};
+  job.owner_fence = range->fence;
+  return Placement::To(range->owner);
 }
 
 void Dispatcher::Wait(Job& job, ServiceState& state, Instant now) {
--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -102,6 +102,7 @@
   if (verdict.wrong_place && job.keyed && this->on_stale_owners) {
     this->on_stale_owners(job.service);
     job.place_after = now + kOwnerRefresh;
+    job.disowned_fence = job.owner_fence;
   }
   const ErrorKind kind =
       verdict.wrong_place ? ErrorKind::kServerFenced : ErrorKind::kServerShed;
--- a/src/dispatch/dispatcher_state.h
+++ b/src/dispatch/dispatcher_state.h
@@ -46,12 +46,15 @@
   kernel::Instant place_after = kernel::kNever;
   kernel::Instant wait_until = kernel::kNever;  ///< While it waits.
   std::vector<std::string> tried;               ///< Servers it was sent to.
+  /// Fencing token of the owner that last said that it does not own the key.
+  std::optional<std::uint64_t> disowned_fence;
   unsigned failed_connects = 0;
   unsigned possible_runs = 0;  ///< Servers that may have run it.
   bool caller_left = false;
   bool waits = false;
   std::optional<net::TransferId> transfer;
   std::string server_id;
+  std::uint64_t owner_fence = 0;  ///< With a key: of the last owner chosen.
   net::Address server_address;
   kernel::Instant sent_at;
 };
--- a/test/fakes/prepared_platform.py
+++ b/test/fakes/prepared_platform.py
@@ -224,6 +224,7 @@
         self.fault = None
         self.work_s = 0.0
         self.asked = 0
+        self.misdirected = 0  # requests that were meant for another server
         self.ran = []  # (method, path, body, request id)
         self.closed_early = 0  # callers that left while it worked
         self.holds = {}  # (from, to) -> (fence, until)
@@ -264,6 +265,7 @@
         body = handler.body()
         target = handler.headers.get("Target-Instance")
         if target is not None and target != self.name:
+            self.misdirected += not handler.path.startswith("/-/")
             return handler.answer(421, headers=[("Instance-Id", self.name)])
         if handler.path == "/-/grant":
             return self.grant(handler, json.loads(body))
--- a/test/processes/platform_test.py
+++ b/test/processes/platform_test.py
@@ -159,6 +159,15 @@
         self.assertEqual(answers, [200] * 40)
         self.assertEqual(self.plain[0].ran, [])
 
+    def test_a_keyed_request_comes_to_a_strange_server_once(self):
+        """Its owner's address is another server's; only new owners would help."""
+        self.owned()
+        owner = next(s for s in self.keyed if s.holds_key(100))
+        owner.name = "another"
+        status = self.nodes[0].call(path="/keyed/k", key=100, wait_ms=1000)[0]
+        self.assertEqual(status, 503)
+        self.assertEqual(owner.misdirected, 1)
+
     def test_a_servers_own_failure_is_passed_on(self):
         self.all_plain("error")
         status, body, _ = self.nodes[0].call("POST", "/book/x", b"1")
