A new instance takes callers once it knows the manifest

Ruled out: holding such requests again, since nobody knows for how long. Change: chervilmux-entry opens its callers' address when the manifest is known, or after 2 s without one, and then says so at once. Tests wait for an instance to take callers; the test of a caller that left waits until a server has its request (it could leave before, which rightly ends a booking too, and hung once).

--- a/apps/entry/main.cc
+++ b/apps/entry/main.cc
@@ -29,6 +29,9 @@
 /// How long this instance goes on relaying while other instances and the
 /// platform's balancer learn that it is leaving.
 constexpr kernel::Duration kAnnounceStop = kernel::milliseconds(600);
+/// The platform or a peer tells the manifest within one poll of 500 ms; without
+/// either of them callers are told the truth after this.
+constexpr kernel::Duration kLongestWaitForManifest = kernel::seconds(2);
 
 /// Blocks the stop signals in this thread and its children, so that only
 /// WaitForStop() takes them.
@@ -56,7 +59,11 @@
     this->registry.Add<store::Platform>("platform", this->platform);
     this->control.SetPlatform(this->registry.Find<store::Platform>("platform"));
     this->control.OnView([this](std::shared_ptr<const routing::View> view) {
+      const bool first = view->manifest && !this->manifest_told;
       this->router.SetView(std::move(view));
+      if (!first) return;
+      this->manifest_told = true;
+      this->manifest_known.set_value();
     });
     this->router.OnMoving([this](std::string cell,
                                  ownership::RowVersion version,
@@ -121,10 +128,11 @@
       return false;
     }
     if (!report("--operator-address", operators.Start())) return false;
-    if (!report("--caller-address", callers.Start())) return false;
     this->router.Start();
     this->control.Start();
-    return true;
+    // Callers that come before the manifest could only be turned away.
+    this->manifest_known.get_future().wait_for(kLongestWaitForManifest);
+    return report("--caller-address", callers.Start());
   }
 
   void StopGracefully(caller::CallerFront& callers) {
@@ -150,6 +158,8 @@
   }
 
   EntrySettings settings;
+  bool manifest_told = false;  ///< Touched by the control task only.
+  std::promise<void> manifest_known;
   kernel::Registry registry;
   observe::Metrics metrics;
   bool registered;
--- a/test/fakes/fake_backend.cc
+++ b/test/fakes/fake_backend.cc
@@ -136,6 +136,7 @@
     body["distinct"] = Json::UInt64{this->runs_of_request.size()};
     body["refused"] = Json::UInt64{this->refused};
     body["peak"] = Json::UInt64{this->peak};
+    body["frozen"] = Json::UInt64{this->frozen.size()};
     return {200, {}, kernel::PrintJson(body)};
   }
 
--- a/test/processes/processes_test.py
+++ b/test/processes/processes_test.py
@@ -277,10 +277,17 @@
             lambda: ask(late, "GET", "/rozpis/klic-1").status == 200,
             "the new instance to serve")
 
+    def test_first_caller_of_a_new_instance_is_not_turned_away(self):
+        new = self.fleet.start_entry("entry-new", DOMAIN)
+        while not self.fleet.takes_callers(new):
+            self.assertIsNone(new.process.poll(), "the instance ended")
+        self.assertEqual(ask(new, "GET", "/rozpis/a").outcome, "answered")
+
     def test_new_instance_with_neither_says_so(self):
         self.fleet.fault(self.fleet.platform, "down")
         alone = self.fleet.start_entry("entry-alone", DOMAIN, enlist=False)
-        self.fleet.wait_until(lambda: self.fleet.status(alone), "its start")
+        self.fleet.wait_until(lambda: self.fleet.takes_callers(alone),
+                              "its start")
         # Far beyond the patience of ask(): a held request fails this test.
         answer = ask(alone, "GET", "/rozpis/a",
                      headers={"X-Timeout-Ms": "600000"})
@@ -384,14 +391,18 @@
         def pending():
             return self.fleet.metric(entry, "chervilmux_jobs")
 
+        def frozen():
+            return sum(self.fleet.backend_stats(server["name"])["frozen"]
+                       for server in self.manifest["services"][0]["servers"])
+
         for number, method in enumerate((b"POST", b"GET"), start=1):
             host, port = entry.caller.rsplit(":", 1)
             with socket.create_connection((host, int(port)), timeout=10) as sock:
                 sock.sendall(method + b" /rozpis/a HTTP/1.1\r\nHost: a\r\n"
                              b"Content-Length: 0\r\nX-Timeout-Ms: 30000\r\n"
                              b"\r\n")
-                self.fleet.wait_until(lambda: pending() == number,
-                                      "the request to be taken in")
+                self.fleet.wait_until(lambda: frozen() == number,
+                                      "a server to have the request")
         # The booking's caller left first, so its end would be counted by now.
         self.fleet.wait_until(lambda: self.fleet.metric(entry, gone),
                               "the lookup to be cut off")
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -270,9 +270,14 @@
                 raise RuntimeError(f"gave up waiting for {what}")
             time.sleep(0.05)
 
+    def takes_callers(self, entry):
+        host, port = entry.caller.rsplit(":", 1)
+        with socket.socket() as probe:
+            return probe.connect_ex((host, int(port))) == 0
+
     def wait_serving(self, manifest, entries):
         """Waits until every cell has a primary and a standby, and all entries
-        have the manifest."""
+        have the manifest and take callers."""
         cells = {f"{service['name']}@{domain}"
                  for service in manifest["services"]
                  for domain in service["failure_domains"]}
@@ -287,6 +292,8 @@
                     return False
                 if status["manifest_revision"] < manifest["revision"]:
                     return False
+                if not self.takes_callers(entry):
+                    return False
                 for cell in status["cells"]:
                     if cell["role"] == "primary" and not cell["moving"]:
                         seen[cell["cell"]] = cell["standby"]
