--- a/apps/chervilmux/node_view.cc
+++ b/apps/chervilmux/node_view.cc
@@ -1,12 +1,11 @@
 #include "node_view.h"
 
-#include <future>
 #include <iomanip>
 #include <iostream>
-#include <memory>
 #include <string>
 #include <utility>
 
+#include "blocking_call.h"
 #include "kernel/json.h"
 #include "kernel/task.h"
 #include "net/http_client.h"
@@ -21,19 +20,13 @@
   kernel::ReactorTask task;
   net::HttpClient client(task, 1);
   task.Start();
-  // Shared: the setter may still touch it when the getter has returned.
-  auto promise = std::make_shared<std::promise<net::TransferResult>>();
-  auto future = promise->get_future();
-  task.Post([&client, &url, promise] {
-    net::TransferOptions options;
-    options.deadline = kernel::Now() + kStatusTimeout;
-    options.may_repeat = true;
-    client.Start({"GET", url, {}, ""}, options,
-                 [promise](net::TransferResult result) {
-                   promise->set_value(std::move(result));
-                 });
-  });
-  net::TransferResult result = future.get();
+  auto result =
+      WaitForReply<net::TransferResult>(task, [&client, &url](auto done) {
+        net::TransferOptions options;
+        options.deadline = kernel::Now() + kStatusTimeout;
+        options.may_repeat = true;
+        client.Start({"GET", url, {}, ""}, options, std::move(done));
+      });
   task.Stop();
   return result;
 }
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -19,11 +19,6 @@
 constexpr std::size_t kAssumedInstances = 12;
 /// Share of the objective that a request may wait for a free server.
 constexpr double kWaitShare = 0.4;
-/// An owner that drains may be sent to for this long, while its keys move. The
-/// bound is 2 s after the store knew, so the time counts from the last moment
-/// at which this instance knew that the owner did not drain. 0.4 s are for
-/// changes that a reader of the store gathers and for the way to the server.
-constexpr Duration kDrainingOwnerLimit = milliseconds(1600);
 /// A caller whose key has no owner comes back after this.
 constexpr Duration kNoOwnerWait = milliseconds(300);
 
@@ -273,7 +268,8 @@
     return Placement::No(ErrorKind::kNoOwner,
                          "the key's owner has left the list");
   }
-  if (state.loads.DrainingFor(range->owner, now) > kDrainingOwnerLimit) {
+  // An owner that drains goes on while its keys move.
+  if (state.loads.DrainingFor(range->owner, now) > model::kLeavingServerLimit) {
     return Placement::No(ErrorKind::kNoOwner,
                          "the key's owner is leaving, its keys have not moved");
   }
--- a/src/model/backend_server.h
+++ b/src/model/backend_server.h
@@ -12,6 +12,13 @@
 
 namespace chervilmux::model {
 
+/// A server that may have left, or be leaving, gets nothing so long after it
+/// was last known to stay: news of it come late. The platform's bound is 2 s;
+/// 0.4 s of them are for changes that a reader of the store gathers and for the
+/// way to the server.
+inline constexpr kernel::Duration kLeavingServerLimit =
+    kernel::milliseconds(1600);
+
 struct BackendServer {
   std::string id;
   std::string service;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -37,9 +37,6 @@
 /// which bound their connections themselves, peers, the store and files.
 constexpr double kCallersShareOfDescriptors = 0.6;
 
-constexpr std::string_view kMetricsPath = "/metrics";
-constexpr std::string_view kStatusPath = "/status";
-
 InstanceRecord Introduce(const NodeSettings& settings) {
   InstanceRecord record;
   record.name = settings.name;
@@ -102,15 +99,17 @@
 
 Node::~Node() = default;
 
-net::FrontEvents Node::PlainFront(
-    std::function<void(const net::RequestRef&, net::HttpRequest)> handler) {
+std::unique_ptr<net::HttpFront> Node::PlainFront(PlainHandler handler) {
   net::FrontEvents events;
-  events.on_request = std::move(handler);
+  events.on_request = [this, handler](const net::RequestRef& ref,
+                                      const net::HttpRequest& request) {
+    (this->*handler)(ref, request);
+  };
   events.on_gone = [](const net::RequestRef&) {};
   events.refuse = [](const kernel::Error& error) {
     return net::PlainAnswer(kernel::TraitsOf(error.kind).status, error.detail);
   };
-  return events;
+  return std::make_unique<net::HttpFront>(this->task, std::move(events));
 }
 
 kernel::Result<void> Node::Open() {
@@ -131,21 +130,9 @@
   this->callers =
       std::make_unique<net::HttpFront>(this->task, std::move(events));
   this->dispatcher->SetFront(*this->callers);
-  this->readiness = std::make_unique<net::HttpFront>(
-      this->task, this->PlainFront([this](const net::RequestRef& ref,
-                                          const net::HttpRequest& request) {
-        this->OnReadiness(ref, request);
-      }));
-  this->peers = std::make_unique<net::HttpFront>(
-      this->task, this->PlainFront([this](const net::RequestRef& ref,
-                                          const net::HttpRequest& request) {
-        this->OnPeerRequest(ref, request);
-      }));
-  this->operators = std::make_unique<net::HttpFront>(
-      this->task, this->PlainFront([this](const net::RequestRef& ref,
-                                          const net::HttpRequest& request) {
-        this->OnOperatorRequest(ref, request);
-      }));
+  this->readiness = this->PlainFront(&Node::OnReadiness);
+  this->peers = this->PlainFront(&Node::OnPeerRequest);
+  this->operators = this->PlainFront(&Node::OnOperatorRequest);
   BOOST_OUTCOME_TRY(this->callers->Listen(this->settings.caller_address));
   BOOST_OUTCOME_TRY(this->readiness->Listen(this->settings.readiness_address));
   BOOST_OUTCOME_TRY(this->peers->Listen(this->settings.peer_address));
@@ -175,7 +162,7 @@
   this->Register();
   this->UseServers();
   const auto age = this->readers.KnowledgeAge(now);
-  if (age) this->servers_true_until = now - *age;
+  this->servers_true_until = this->readers.KnownAsOf();
   this->dispatcher->SetCurrent(age && *age < kCurrentAge);
   for (const auto& [name, service] : this->key_services) service->Tick(now);
   this->dispatcher->CheckTime(now);
@@ -439,64 +426,4 @@
   if (this->on_stopped) std::exchange(this->on_stopped, nullptr)();
 }
 
-void Node::OnOperatorRequest(const net::RequestRef& ref,
-                             const net::HttpRequest& request) {
-  net::HttpAnswer answer = net::PlainAnswer(404);
-  if (request.url == kMetricsPath) {
-    answer = net::PlainAnswer(200, this->MetricsText());
-  } else if (request.url == kStatusPath) {
-    answer = net::PlainAnswer(200, EncodeStatus(this->Status()));
-  }
-  this->operators->Answer(ref, std::move(answer));
-}
-
-NodeStatus Node::Status() {
-  const Instant now = kernel::Now();
-  NodeStatus status;
-  status.self = this->self;
-  status.ready = this->Ready();
-  status.stopping = this->stop_began.has_value();
-  status.follows_store = this->FollowsStore(now);
-  status.knowledge_age = this->readers.KnowledgeAge(now);
-  status.open_requests = this->dispatcher->Open();
-  for (const auto& [name, instance] : this->readers.Instances()) {
-    status.instances.push_back(instance);
-  }
-  if (!this->configuration) return status;
-  status.configuration_version = this->configuration->version;
-  for (const auto& [name, service] : this->configuration->services) {
-    ServiceStatus& entry = status.services.emplace_back();
-    entry.name = name;
-    entry.servers = this->dispatcher->ServersOf(name);
-    const auto keyed = this->key_services.find(name);
-    if (keyed != this->key_services.end()) {
-      entry.owners = Summarize(keyed->second->Owners());
-    }
-  }
-  return status;
-}
-
-std::string Node::MetricsText() {
-  this->metrics.Count("chervilmux_open_requests")
-      .SetTo(this->dispatcher->Open());
-  this->metrics.Count("chervilmux_caller_connections")
-      .SetTo(this->callers->Connections());
-  this->metrics.Count("chervilmux_server_connections_opened_total")
-      .SetTo(this->links.Opened());
-  for (const auto& [name, service] : this->key_services) {
-    const std::string label = observe::Label("service", name);
-    this->metrics.Count("chervilmux_leads_owners", label)
-        .SetTo(service->Leads() ? 1 : 0);
-    this->metrics.Count("chervilmux_ranges_lapsing", label)
-        .SetTo(service->Grantor().Lapsing());
-    this->metrics.Count("chervilmux_owners_term", label)
-        .SetTo(service->Owners().term);
-  }
-  if (const auto age = this->readers.KnowledgeAge(kernel::Now())) {
-    this->metrics.Count("chervilmux_store_knowledge_age_ms")
-        .SetTo(static_cast<std::uint64_t>(kernel::ToMs(*age)));
-  }
-  return this->metrics.Print();
-}
-
 }  // namespace chervilmux::node
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -91,8 +91,10 @@
   std::string MetricsText();
   NodeStatus Status();
   std::vector<TableFollower*> Followers();
-  net::FrontEvents PlainFront(
-      std::function<void(const net::RequestRef&, net::HttpRequest)> handler);
+  using PlainHandler = void (Node::*)(const net::RequestRef&,
+                                      const net::HttpRequest&);
+  /// A front of this task whose requests `handler` answers.
+  std::unique_ptr<net::HttpFront> PlainFront(PlainHandler handler);
 
   kernel::Registry& registry;
   kernel::ReactorTask& task;
--- a/src/node/node_status.cc
+++ b/src/node/node_status.cc
@@ -5,15 +5,6 @@
 namespace chervilmux::node {
 namespace {
 
-Json::Value ToJson(const InstanceRecord& instance) {
-  Json::Value json(Json::objectValue);
-  json["name"] = instance.name;
-  json["failure_domain"] = instance.failure_domain;
-  json["peer_address"] = instance.peer_address;
-  json["life"] = Json::UInt64(instance.life);
-  return json;
-}
-
 Json::Value ToJson(const policy::ServerView& server) {
   Json::Value json(Json::objectValue);
   json["id"] = server.id;
--- a/src/node/peer_message.cc
+++ b/src/node/peer_message.cc
@@ -7,15 +7,6 @@
 namespace chervilmux::node {
 namespace {
 
-Json::Value ToJson(const InstanceRecord& record) {
-  Json::Value json(Json::objectValue);
-  json["name"] = record.name;
-  json["life"] = Json::UInt64(record.life);
-  json["failure_domain"] = record.failure_domain;
-  json["peer_address"] = record.peer_address;
-  return json;
-}
-
 kernel::Result<InstanceRecord> InstanceFrom(const Json::Value& json) {
   InstanceRecord record;
   if (json.isObject()) {
@@ -80,6 +71,15 @@
 
 }  // namespace
 
+Json::Value ToJson(const InstanceRecord& record) {
+  Json::Value json(Json::objectValue);
+  json["name"] = record.name;
+  json["life"] = Json::UInt64(record.life);
+  json["failure_domain"] = record.failure_domain;
+  json["peer_address"] = record.peer_address;
+  return json;
+}
+
 std::string EncodeInstance(const InstanceRecord& record) {
   return kernel::PrintJson(ToJson(record));
 }
--- a/src/node/peer_message.h
+++ b/src/node/peer_message.h
@@ -6,6 +6,8 @@
 #ifndef CHERVILMUX_NODE_PEER_MESSAGE_H_
 #define CHERVILMUX_NODE_PEER_MESSAGE_H_
 
+#include <json/json.h>
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -30,6 +32,7 @@
   bool operator==(const InstanceRecord&) const = default;
 };
 
+Json::Value ToJson(const InstanceRecord& record);
 std::string EncodeInstance(const InstanceRecord& record);
 /// Errors: kMessageMalformed.
 kernel::Result<InstanceRecord> DecodeInstance(std::string_view text);
--- a/src/node/server_list.cc
+++ b/src/node/server_list.cc
@@ -13,10 +13,6 @@
 /// A server that vanishes without having announced it stays in use so long:
 /// an outage of the store may become known only after its first news.
 constexpr Duration kUnannouncedGrace = milliseconds(800);
-/// But it may have left as soon as the list was last known to be right, and 2 s
-/// after it left nothing may go there. 0.4 s of them are for changes that a
-/// reader of the store gathers and for the way to the server.
-constexpr Duration kLeftServerLimit = milliseconds(1600);
 /// An outage of the whole store makes many rows run out together. One that only
 /// some instances notice does not, and must not keep servers that have left.
 constexpr double kOutageShare = 0.3;
@@ -31,7 +27,7 @@
   Missing gap{now, now + kUnannouncedGrace};
   if (unchanged_until != kernel::kNever) {
     gap.keep_until =
-        std::min(gap.keep_until, unchanged_until + kLeftServerLimit);
+        std::min(gap.keep_until, unchanged_until + model::kLeavingServerLimit);
   }
   for (const auto& [id, server] : this->in_use) {
     if (!rows.contains(id)) this->missing.try_emplace(id, gap);
--- a/src/node/store_readers.h
+++ b/src/node/store_readers.h
@@ -48,7 +48,11 @@
   /// A peer did not answer.
   void OnPeerSilent(const std::string& address, kernel::Instant now);
 
-  /// Time since the store last answered somebody whose news are known here.
+  /// When the store last answered somebody whose news are known here; kNever
+  /// before the first answer.
+  kernel::Instant KnownAsOf() const { return this->known_as_of; }
+
+  /// Time since then.
   std::optional<kernel::Duration> KnowledgeAge(kernel::Instant now) const;
 
   /// Whether this instance should follow the store.
--- a/test/performance/load_bench.py
+++ b/test/performance/load_bench.py
@@ -11,7 +11,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..", "tools"))
-from fleet import Fleet, http_call, service  # noqa: E402
+from fleet import Fleet, host_and_port, http_call, service  # noqa: E402
 
 SECONDS = 4
 THREADS = 8
@@ -35,12 +35,12 @@
 def load(address, path_of, headers=None, seconds=SECONDS, threads=THREADS,
          method="GET"):
     """Closed loop over persistent connections; (answers, latencies, counts)."""
-    host, port = address.rsplit(":", 1)
     latencies, counts, lock = [], {}, threading.Lock()
     end = time.monotonic() + seconds
 
     def run(number):
-        connection = http.client.HTTPConnection(host, int(port), timeout=20)
+        connection = http.client.HTTPConnection(*host_and_port(address),
+                                                timeout=20)
         own, own_counts, i = [], {}, 0
         while time.monotonic() < end:
             begin = time.monotonic()
--- a/test/processes/processes_test.py
+++ b/test/processes/processes_test.py
@@ -16,8 +16,8 @@
 import unittest
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..", "tools"))
-from fleet import (Fleet, ask, exchange_bytes, http_call,  # noqa: E402
-                   service)
+from fleet import (Fleet, ask, connect, exchange_bytes,  # noqa: E402
+                   host_and_port, http_call, service)
 
 BUILD = "build"
 SEED = 20261204
@@ -304,8 +304,7 @@
 
     def shout(self, data):
         """Sends without waiting for an answer."""
-        host, port = self.entries[0].caller.rsplit(":", 1)
-        with socket.create_connection((host, int(port)), timeout=10) as sock:
+        with connect(self.entries[0].caller) as sock:
             sock.sendall(data)
 
     def executions(self):
@@ -396,8 +395,7 @@
                        for server in self.manifest["services"][0]["servers"])
 
         for number, method in enumerate((b"POST", b"GET"), start=1):
-            host, port = entry.caller.rsplit(":", 1)
-            with socket.create_connection((host, int(port)), timeout=10) as sock:
+            with connect(entry.caller) as sock:
                 sock.sendall(method + b" /rozpis/a HTTP/1.1\r\nHost: a\r\n"
                              b"Content-Length: 0\r\nX-Timeout-Ms: 30000\r\n"
                              b"\r\n")
@@ -410,12 +408,11 @@
         self.assertEqual(self.fleet.metric(entry, gone), 1)
 
     def test_peers_noise_is_refused_and_counted(self):
-        host, port = self.entries[0].peer.rsplit(":", 1)
         noise = random.Random(SEED)
         with socket.socket(type=socket.SOCK_DGRAM) as udp:
             for _ in range(100):
                 udp.sendto(bytes(noise.randrange(256) for _ in range(300)),
-                           (host, int(port)))
+                           host_and_port(self.entries[0].peer))
         self.raw(b"\xff" * 400, self.entries[0].peer)
         self.raw(b"\x00\x00\x00\x10" + b"\x07" * 16, self.entries[0].peer)
         self.assertEqual(ask(self.entries[0], "GET", "/rozpis/a").status, 200)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -46,10 +46,19 @@
             return port
 
 
+def host_and_port(address):
+    host, port = address.rsplit(":", 1)
+    return host, int(port)
+
+
+def connect(address):
+    return socket.create_connection(host_and_port(address), timeout=10)
+
+
 def http_call(address, method, path, body=None, headers=None, timeout=10):
     """One request on a connection of its own: (status, headers, body)."""
-    host, port = address.rsplit(":", 1)
-    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    connection = http.client.HTTPConnection(*host_and_port(address),
+                                            timeout=timeout)
     try:
         connection.request(method, path, body, headers or {})
         response = connection.getresponse()
@@ -61,9 +70,8 @@
 def exchange_bytes(address, data):
     """Sends `data` as it is and returns all that comes back. A server may refuse
     before it has read everything, and close: its answer counts all the same."""
-    host, port = address.rsplit(":", 1)
     received = b""
-    with socket.create_connection((host, int(port)), timeout=10) as sock:
+    with connect(address) as sock:
         try:
             sock.sendall(data)
             sock.shutdown(socket.SHUT_WR)
@@ -271,9 +279,8 @@
             time.sleep(0.05)
 
     def takes_callers(self, entry):
-        host, port = entry.caller.rsplit(":", 1)
         with socket.socket() as probe:
-            return probe.connect_ex((host, int(port))) == 0
+            return probe.connect_ex(host_and_port(entry.caller)) == 0
 
     def wait_serving(self, manifest, entries):
         """Waits until every cell has a primary and a standby, and all entries
