Logs tell the estimate behind a refusal, why a server is ejected, and how evenly keys are owned

Change: refused lines carry the owner, its estimated load and the age of its last report; server_ejected tells the kind of the last failure and the open connections; owners_commit counts owners and the largest share. No decision changes. A refusal of a keyed request without a key no longer reads the missing key for its log line.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -140,6 +140,7 @@
   void Finish(Job& job, net::HttpAnswer answer);
   void RemoveJob(Job& job);
   void LogRefusal(const Job& job, const kernel::Error& error) const;
+  void LogEjection(const Job& job, policy::AttemptOutcome cause) const;
   double RandomUnit();
 
   observe::Metrics& metrics;
--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -2,6 +2,8 @@
 // sends the final answer.
 
 #include <algorithm>
+#include <iomanip>
+#include <sstream>
 #include <utility>
 
 #include "dispatch/dispatcher.h"
@@ -38,6 +40,12 @@
   return std::to_string(kernel::ToMs(duration));
 }
 
+std::string FormatTenths(double number) {
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(1) << number;
+  return text.str();
+}
+
 }  // namespace
 
 void Dispatcher::OnTransfer(std::uint64_t job_id, net::TransferResult result) {
@@ -62,8 +70,22 @@
     Job& job, AttemptOutcome end,
     const std::optional<policy::ReportedLoad>& load, Instant now) {
   ServiceState& state = this->GetOrCreateServiceState(job.service);
+  const bool was_ejected = state.loads.IsEjected(job.server_id, now);
   state.loads.OnCompletion(job.server_id, end, now - job.sent_at, load, now);
   state.rate.OnCompletion(now);
+  if (!was_ejected && state.loads.IsEjected(job.server_id, now)) {
+    this->LogEjection(job, end);
+  }
+}
+
+void Dispatcher::LogEjection(const Job& job, AttemptOutcome cause) const {
+  observe::LogWarn("server_ejected",
+                   {{"service", job.service},
+                    {"server", job.server_id},
+                    {"cause", std::string(policy::NameOf(cause))},
+                    {"sent_ms_ago", FormatMs(kernel::Now() - job.sent_at)},
+                    {"open_connections",
+                     std::to_string(this->links.OpenTo(job.server_address))}});
 }
 
 void Dispatcher::OnAnswer(Job& job, net::HttpAnswer answer, Instant now) {
@@ -252,23 +274,37 @@
   const std::size_t waiting =
       has_state ? state->second->waiting.size() : std::size_t{0};
   std::string term;
-  if (job.keyed && has_state && state->second->owners) {
+  std::string owner;
+  std::optional<policy::LoadEstimate> owner_load;
+  const bool has_key = job.keyed && job.metadata.key.has_value();
+  if (has_key && has_state && state->second->owners) {
     term = std::to_string(state->second->owners->term);
+    const auto* range = state->second->owners->Find(*job.metadata.key);
+    if (range != nullptr) owner = range->owner;
+    owner_load = state->second->loads.EstimateLoad(owner, now);
   }
-  observe::LogWarn("refused",
-                   {{"request", job.metadata.id},
-                    {"kind", std::string(kernel::TraitsOf(error.kind).name)},
-                    {"why", error.detail},
-                    {"service", job.service},
-                    {"server", job.server_id},
-                    {"key", job.keyed ? std::to_string(*job.metadata.key) : ""},
-                    {"owners_term", term},
-                    {"config_version", version},
-                    {"left_ms", FormatMs(job.deadline - now)},
-                    {"held_ms", FormatMs(now - job.arrived_at)},
-                    {"waiting", std::to_string(waiting)},
-                    {"sends", std::to_string(job.tried_servers.size())},
-                    {"failed_connects", std::to_string(job.failed_connects)}});
+  const bool has_report = owner_load && owner_load->report_age;
+  observe::LogWarn(
+      "refused",
+      {{"request", job.metadata.id},
+       {"kind", std::string(kernel::TraitsOf(error.kind).name)},
+       {"why", error.detail},
+       {"service", job.service},
+       {"server", job.server_id},
+       {"key", has_key ? std::to_string(*job.metadata.key) : ""},
+       {"owners_term", term},
+       {"owner", owner},
+       {"owner_load", owner_load ? FormatTenths(owner_load->requests) : ""},
+       {"owner_in_flight",
+        owner_load ? std::to_string(owner_load->in_flight) : ""},
+       {"owner_report_age_ms",
+        has_report ? FormatMs(*owner_load->report_age) : ""},
+       {"config_version", version},
+       {"left_ms", FormatMs(job.deadline - now)},
+       {"held_ms", FormatMs(now - job.arrived_at)},
+       {"waiting", std::to_string(waiting)},
+       {"sends", std::to_string(job.tried_servers.size())},
+       {"failed_connects", std::to_string(job.failed_connects)}});
 }
 
 void Dispatcher::Finish(Job& job, net::HttpAnswer answer) {
--- a/src/net/server_links.cc
+++ b/src/net/server_links.cc
@@ -442,6 +442,12 @@
   this->impl->CloseIdle(address);
 }
 void ServerLinks::CheckTime(Instant now) { this->impl->CheckTime(now); }
+std::size_t ServerLinks::OpenTo(const Address& address) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->impl->links, [&address](const auto& entry) {
+        return entry.first->address == address;
+      }));
+}
 std::uint64_t ServerLinks::Opened() const { return this->impl->opened; }
 
 }  // namespace chervilmux::net
--- a/src/net/server_links.h
+++ b/src/net/server_links.h
@@ -55,6 +55,9 @@
   /// Ends what is over its time. Call every few milliseconds.
   void CheckTime(kernel::Instant now);
 
+  /// Connections to `address` that are open or being opened.
+  std::size_t OpenTo(const Address& address) const;
+
   /// Connections opened since the start.
   std::uint64_t Opened() const;
 
--- a/src/node/key_service.cc
+++ b/src/node/key_service.cc
@@ -166,11 +166,14 @@
         MakeRow(kRangesTable, this->name, "", write.table_version));
     transaction.writes.push_back(MakeRow(kRangesTable, this->name,
                                          ranges::EncodeTable(*write.table), 0));
+    const ranges::OwnerShares shares = ranges::SharesOf(*write.table);
     observe::LogInfo("owners_commit",
                      {{"service", this->name},
                       {"term", std::to_string(write.table->term)},
                       {"sequence", std::to_string(write.table->sequence)},
                       {"ranges", std::to_string(write.table->ranges.size())},
+                      {"owners", std::to_string(shares.owners)},
+                      {"largest_share", std::to_string(shares.largest)},
                       {"last_fence", std::to_string(write.table->last_fence)}});
   }
   this->store.Commit(transaction, [this](const store::CommitReply& reply) {
--- a/src/policy/server_loads.cc
+++ b/src/policy/server_loads.cc
@@ -41,6 +41,26 @@
 
 }  // namespace
 
+std::string_view NameOf(AttemptOutcome outcome) {
+  switch (outcome) {
+    case AttemptOutcome::kServed:
+      return "served";
+    case AttemptOutcome::kServerError:
+      return "server-error";
+    case AttemptOutcome::kShed:
+      return "shed";
+    case AttemptOutcome::kUnreachable:
+      return "unreachable";
+    case AttemptOutcome::kBroken:
+      return "broken";
+    case AttemptOutcome::kTimedOut:
+      return "timed-out";
+    case AttemptOutcome::kInconclusive:
+      return "inconclusive";
+  }
+  return "";
+}
+
 ServerLoads::ServerLoads(std::string own_failure_domain,
                          const ServerLoadsTuning& tuning)
     : own_failure_domain(std::move(own_failure_domain)), tuning(tuning) {}
@@ -129,6 +149,20 @@
   return found != this->servers.end() && this->HasCapacity(found->second, now);
 }
 
+std::optional<LoadEstimate> ServerLoads::EstimateLoad(std::string_view id,
+                                                      Instant now) const {
+  const auto found = this->servers.find(id);
+  if (found == this->servers.end()) return std::nullopt;
+  const Server& server = found->second;
+  LoadEstimate estimate;
+  estimate.requests = this->EstimatedLoad(server, now);
+  estimate.in_flight = server.in_flight;
+  if (server.reported_at != kernel::kNever) {
+    estimate.report_age = now - server.reported_at;
+  }
+  return estimate;
+}
+
 bool ServerLoads::IsEjected(std::string_view id, Instant now) const {
   const auto found = this->servers.find(id);
   return found != this->servers.end() && now < found->second.ejected_until;
--- a/src/policy/server_loads.h
+++ b/src/policy/server_loads.h
@@ -50,6 +50,9 @@
   kInconclusive,
 };
 
+/// The name of `outcome` in log lines.
+std::string_view NameOf(AttemptOutcome outcome);
+
 /// This instance's estimates for one server, for the operators' status page.
 struct ServerView {
   std::string id;
@@ -63,6 +66,15 @@
   double relative_speed = 1;
 };
 
+/// What a decision about one server was based on, for the log.
+struct LoadEstimate {
+  /// Estimated requests at the server, of all instances.
+  double requests = 0;
+  unsigned in_flight = 0;  ///< Of this instance.
+  /// Time since the server last reported its load; empty if it never did.
+  std::optional<kernel::Duration> report_age;
+};
+
 struct ServerLoadsTuning {
   /// Weight of the newest latency in the moving average.
   double latency_gain = 0.15;
@@ -125,6 +137,10 @@
   /// Whether `id` can accept another request, in its slots or its queue.
   bool HasCapacity(std::string_view id, kernel::Instant now) const;
 
+  /// Nothing when `id` is not listed.
+  std::optional<LoadEstimate> EstimateLoad(std::string_view id,
+                                           kernel::Instant now) const;
+
   /// Whether `id` is ejected after failures.
   bool IsEjected(std::string_view id, kernel::Instant now) const;
 
--- a/src/ranges/range_table.cc
+++ b/src/ranges/range_table.cc
@@ -1,6 +1,7 @@
 #include "ranges/range_table.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "kernel/json.h"
@@ -73,6 +74,21 @@
          std::pair(other.term, other.sequence);
 }
 
+OwnerShares SharesOf(const RangeTable& table) {
+  std::map<std::string_view, std::uint32_t> keys;
+  for (const auto& range : table.ranges) {
+    if (!range.owner.empty())
+      keys[range.owner] += range.last - range.first + 1U;
+  }
+  OwnerShares shares;
+  shares.owners = keys.size();
+  for (const auto& [owner, count] : keys) {
+    shares.largest =
+        std::max(shares.largest, static_cast<double>(count) / kKeyCount);
+  }
+  return shares;
+}
+
 void MergeAdjacentRanges(std::vector<KeyRange>& ranges) {
   std::vector<KeyRange> merged;
   for (auto& range : ranges) {
--- a/src/ranges/range_table.h
+++ b/src/ranges/range_table.h
@@ -9,6 +9,7 @@
 #ifndef CHERVILMUX_RANGES_RANGE_TABLE_H_
 #define CHERVILMUX_RANGES_RANGE_TABLE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -62,6 +63,13 @@
   bool operator==(const RangeTable&) const = default;
 };
 
+/// How evenly a table divides the keys.
+struct OwnerShares {
+  std::size_t owners = 0;  ///< Servers that own keys.
+  double largest = 0;      ///< The largest share of all keys that one owns.
+};
+OwnerShares SharesOf(const RangeTable& table);
+
 /// Difference between two tables of the same service and term.
 struct RangeDelta {
   std::string service;
