Keys spread in a time that does not grow with the number of servers

Cause: a balancing plan made at most 4 moves, and the next one waited until every move was done, also one whose owner did not answer. The first plan was made for the servers that happened to be listed by then. Load below a fixed total counted as significant, however many servers shared it, and only a server without any keys was filled. Change: the number of moves at once is a share of the servers, a plan that was limited goes on as moves end, and a release that takes long holds up nothing. The first owners are chosen when no further server registers. The minimum load is per server.

--- a/src/ranges/range_grantor.cc
+++ b/src/ranges/range_grantor.cc
@@ -100,7 +100,10 @@
     state.gone_since = now;
   }
   for (const auto& server : listed) {
-    ServerState& state = this->servers[server.id];
+    const auto [entry, is_new] = this->servers.try_emplace(server.id);
+    if (is_new) this->server_added_at = now;
+    if (this->first_server_at == kernel::kNever) this->first_server_at = now;
+    ServerState& state = entry->second;
     const bool same_incarnation = state.listed.life == server.life &&
                                   state.listed.address == server.address;
     if (!same_incarnation) state = ServerState();
--- a/src/ranges/range_grantor.h
+++ b/src/ranges/range_grantor.h
@@ -244,6 +244,8 @@
     bool awaits_first_grant = false;
     /// `range_to_commit` is part of the pending write of the table row.
     bool is_committing = false;
+    /// Start of the phase kReleasing.
+    kernel::Instant releasing_since = kernel::kNever;
     /// Time by which all grants to the owner have expired.
     kernel::Instant expires_at = kernel::kNever;
     /// Time by which grants from unanswered orders have expired.
@@ -314,6 +316,12 @@
   void OnReleaseReply(RangeState& state, const OrderReply& reply,
                       kernel::Instant now);
   void PlanMoves(kernel::Instant now);
+  /// Number of ranges between two owners, without those whose owner does not
+  /// answer.
+  std::size_t CountMovesInProgress(kernel::Instant now) const;
+  /// Whether the first owners are not chosen yet because servers are still
+  /// registering.
+  bool AwaitsMoreServers(kernel::Instant now) const;
   void ApplyMove(const PlannedMove& move, kernel::Instant now);
   std::vector<PlannerRange> MakePlannerRanges() const;
   std::vector<PlannerServer> MakePlannerServers() const;
@@ -343,6 +351,8 @@
   Role role = Role::kFollower;
   bool is_resigning = false;
   std::map<std::string, ServerState, std::less<>> servers;
+  kernel::Instant first_server_at = kernel::kNever;
+  kernel::Instant server_added_at = kernel::kNever;  ///< The latest one.
   std::function<double(std::string_view)> capacity_of;
   std::function<bool(std::string_view, std::uint64_t)> has_ended;
 
--- a/src/ranges/range_grantor_orders.cc
+++ b/src/ranges/range_grantor_orders.cc
@@ -26,6 +26,14 @@
 /// A server that failed an order gets no new keys for this long.
 constexpr Duration kAvoidDuration = milliseconds(1500);
 
+/// A release that takes longer, for example because its server does not answer,
+/// does not hold up other moves.
+constexpr Duration kSlowRelease = milliseconds(700);
+/// The first owners are chosen when no further server has registered for this
+/// long, at the latest `kMaxFirstPlanDelay` after the first one.
+constexpr Duration kFirstPlanDelay = milliseconds(500);
+constexpr Duration kMaxFirstPlanDelay = milliseconds(5000);
+
 constexpr std::string_view kGrantExpired = "the owner's grant has expired";
 
 }  // namespace
@@ -55,6 +63,7 @@
       (!owner->gone || now - owner->gone_since < kMaxReleaseDelayAfterGone);
   if (can_ask_release && state.accepted_grant) {
     state.phase = Phase::kReleasing;
+    state.releasing_since = now;
     state.next_order_at = now;
   } else if (state.accepted_grant || state.expires_at != kernel::kNever) {
     this->AwaitExpiry(state, "the owner cannot be asked to release");
@@ -151,25 +160,38 @@
 }
 
 void RangeGrantor::PlanMoves(Instant now) {
-  if (now < this->next_plan_at) return;
+  if (now < this->next_plan_at || this->AwaitsMoreServers(now)) return;
   this->next_plan_at = now + this->timing.plan_period;
   this->MergeRangeStates();
   const auto planned_servers = this->MakePlannerServers();
   const auto required_moves =
       PlanRequiredMoves(this->MakePlannerRanges(), planned_servers, this->load);
   for (const auto& move : required_moves) this->ApplyMove(move, now);
-  const bool no_move_in_progress =
-      required_moves.empty() &&
-      std::ranges::none_of(this->range_states, [](const RangeState& p) {
-        return p.phase == Phase::kReleasing || p.phase == Phase::kFree ||
-               p.awaits_first_grant;
-      });
-  if (!no_move_in_progress || now < this->next_balance_at) return;
-  this->next_balance_at = now + this->timing.balance_period;
-  for (const auto& move : PlanBalancingMoves(this->MakePlannerRanges(),
-                                             planned_servers, this->load)) {
-    this->ApplyMove(move, now);
-  }
+  if (now < this->next_balance_at) return;
+  PlannerOptions options;
+  options.moves_in_progress = this->CountMovesInProgress(now);
+  const BalancingPlan plan = PlanBalancingMoves(
+      this->MakePlannerRanges(), planned_servers, this->load, options);
+  for (const auto& move : plan.moves) this->ApplyMove(move, now);
+  this->next_balance_at = now + (plan.limited ? this->timing.plan_period
+                                              : this->timing.balance_period);
+}
+
+std::size_t RangeGrantor::CountMovesInProgress(Instant now) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->range_states, [now](const RangeState& state) {
+        const bool releases = state.phase == Phase::kReleasing &&
+                              now - state.releasing_since < kSlowRelease;
+        return releases || state.phase == Phase::kFree ||
+               state.awaits_first_grant;
+      }));
+}
+
+bool RangeGrantor::AwaitsMoreServers(Instant now) const {
+  // Once a key has been granted, a plan for all keys would only add moves.
+  if (this->table.last_fence != 0) return false;
+  return now < this->server_added_at + kFirstPlanDelay &&
+         now < this->first_server_at + kMaxFirstPlanDelay;
 }
 
 void RangeGrantor::ApplyMove(const PlannedMove& move, Instant now) {
--- a/src/ranges/range_planner.h
+++ b/src/ranges/range_planner.h
@@ -4,11 +4,15 @@
 /// Ranges without an owner and ranges of leaving servers are distributed by
 /// load, new servers are filled, and load beyond the fair share of a server
 /// moves to the least loaded one. Requests for moved keys pause briefly, so the
-/// planner uses hysteresis and moves the fewest keys that carry the load.
+/// planner uses hysteresis, moves the fewest keys that carry the load, and
+/// bounds the share of the keys that move at the same time. The number of moves
+/// at once is in proportion to the number of servers, so that the time to
+/// spread the keys does not depend on it.
 
 #ifndef CHERVILMUX_RANGES_RANGE_PLANNER_H_
 #define CHERVILMUX_RANGES_RANGE_PLANNER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <string>
@@ -51,11 +55,14 @@
   /// A server is overloaded if its load per capacity exceeds the mean by this
   /// factor.
   double overload_ratio = 1.3;
-  /// Below this total rate, in requests per second, the load is too small for
-  /// balancing decisions.
-  double min_total_load = 8;
-  /// Limit on the balancing moves in one plan.
-  unsigned max_balancing_moves = 4;
+  /// Below this mean rate per server, in requests per second, the load is too
+  /// small for balancing decisions, and all keys count the same.
+  double min_load_per_server = 2;
+  /// So many moves may be in progress at once at any number of servers; at many
+  /// servers it is a share of their number.
+  std::size_t min_moves_at_once = 4;
+  /// Moves of earlier plans that have not ended.
+  std::size_t moves_in_progress = 0;
 };
 
 /// Returns the moves that give an owner to each range that has none or whose
@@ -65,11 +72,17 @@
     std::span<const PlannerRange> ranges,
     std::span<const PlannerServer> servers, const LoadMap& load);
 
+struct BalancingPlan {
+  std::vector<PlannedMove> moves;
+  /// Further moves have to wait until some of those in progress have ended.
+  bool limited = false;
+};
+
 /// Returns the moves that even out the load.
-std::vector<PlannedMove> PlanBalancingMoves(
-    std::span<const PlannerRange> ranges,
-    std::span<const PlannerServer> servers, const LoadMap& load,
-    const PlannerOptions& options = {});
+BalancingPlan PlanBalancingMoves(std::span<const PlannerRange> ranges,
+                                 std::span<const PlannerServer> servers,
+                                 const LoadMap& load,
+                                 const PlannerOptions& options = {});
 
 }  // namespace chervilmux::ranges
 
--- a/test/scenario/range_world.cc
+++ b/test/scenario/range_world.cc
@@ -45,6 +45,10 @@
   this->impl->servers[server].listed = false;
   this->impl->UpdateAllServerLists();
 }
+void RangeSimulation::ListServer(unsigned server) {
+  this->impl->servers[server].listed = true;
+  this->impl->UpdateAllServerLists();
+}
 void RangeSimulation::DelayOrders(Duration length) {
   this->impl->delay_orders_until = this->impl->now + length;
 }
@@ -60,6 +64,9 @@
          static_cast<std::uint32_t>(std::max(1.0, per_bucket))});
   }
 }
+void RangeSimulation::SetRandomLoad(double per_second) {
+  this->impl->random_load_per_second = per_second;
+}
 std::optional<unsigned> RangeSimulation::Leader() const {
   return this->impl->Leader();
 }
--- a/test/scenario/range_world.h
+++ b/test/scenario/range_world.h
@@ -27,8 +27,12 @@
   std::uint64_t seed = 1;
   unsigned instances = 3;
   unsigned servers = 5;
+  /// The store lists the first so many of the servers when the run starts.
+  unsigned listed_at_start = ~0U;
   kernel::Duration length = kernel::seconds(60);
   unsigned faults = 12;  ///< Number of random faults.
+  /// Some answers of the store to writes are lost or a second late.
+  bool lose_store_answers = true;
   // Each of these disables one protection, to show that the checks then find a
   // violation.
   /// Orders held up by a partition arrive after their sender has timed out.
@@ -68,10 +72,14 @@
   void CrashServer(unsigned server, kernel::Duration down);
   void DrainServer(unsigned server);
   void UnlistServer(unsigned server);
+  void ListServer(unsigned server);
   void DelayOrders(kernel::Duration length);
   /// From now on keys [first, last] together get `per_second` requests.
   void SetKeyLoad(ranges::Key first, ranges::Key last, double per_second);
 
+  /// From now on keys chosen at random get `per_second` requests together.
+  void SetRandomLoad(double per_second);
+
   /// Index of the instance that leads and may change owners, if there is one.
   std::optional<unsigned> Leader() const;
   /// Number of keys that running servers hold now.
--- a/test/scenario/range_world_impl.h
+++ b/test/scenario/range_world_impl.h
@@ -91,6 +91,7 @@
       Server& server = this->servers.emplace_back();
       server.id = "server-" + std::to_string(i);
       server.clock_rate = i % 2 == 0 ? 1.0 : 0.98;
+      server.listed = i < options.listed_at_start;
     }
     for (unsigned i = 0; i < options.instances; ++i) {
       Instance& instance = this->instances.emplace_back();
@@ -284,6 +285,7 @@
     if (!this->load_per_tick.empty() && instance.grantor->Leads()) {
       instance.grantor->OnLoadReport(this->load_per_tick);
     }
+    if (instance.grantor->Leads()) this->ReportRandomLoad(*instance.grantor);
     const auto actions = instance.grantor->Tick(this->now);
     const bool leads = instance.grantor->Leads();
     if (leads && !instance.was_leader) this->result.takeovers += 1;
@@ -293,6 +295,19 @@
     for (const auto& order : actions.orders) this->SendOrder(index, order);
   }
 
+  /// Reports the requests of one tick, for random keys.
+  void ReportRandomLoad(ranges::RangeGrantor& grantor) {
+    if (this->random_load_per_second <= 0) return;
+    std::poisson_distribution<unsigned> count(
+        this->random_load_per_second * kernel::ToSeconds(simulated::kTick));
+    for (unsigned left = count(this->random); left > 0; --left) {
+      const ranges::BucketCount request{
+          static_cast<std::uint16_t>(this->RandomBelow(ranges::kBucketCount)),
+          1};
+      grantor.OnLoadReport({&request, 1});
+    }
+  }
+
   /// Sends the leader's table to the other instances. Links between instances
   /// are not simulated: an instance that cannot reach the store is cut off from
   /// the other instances as well.
@@ -395,12 +410,16 @@
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
   std::uint64_t last_sequence = 0;
   std::vector<Server> servers;
+  /// Indices of the servers that may hold a group of keys.
+  std::vector<std::vector<unsigned>> holders_by_group =
+      std::vector<std::vector<unsigned>>(simulated::kGroupCount);
   std::vector<Instance> instances;
   ranges::GrantorRows rows;
   std::uint64_t store_version = 0;
   Instant store_down_until = kernel::kNever;
   Instant delay_orders_until = kernel::kNever;
   std::vector<ranges::BucketCount> load_per_tick;  ///< Requests by bucket.
+  double random_load_per_second = 0;
   RangeSimulationResult result;
   std::uint64_t counted_ticks = 0;
   std::uint64_t owned_group_ticks = 0;
