The owner of keys that resets connections counts as full, not as broken

Cause: servers of that site reset connections while their queue or their connections are full. Change: a new connection that the server closes without a byte is told apart from a failed connect and from an answer that broke off. For an owner of keys it means full: it gets no requests for a service time, doubled with each further reset and halved with each answer, so that any number of instances adapt to what it can serve without asking each other. Requests that could not be sent within their wait are refused at once with the time until then. A connection that had been idle proves nothing and changes nothing. Evidence: server_loads_test plays six resets; with a reset counted as a failure it fails (the owner is ejected, and gets requests while it is full). data_path_test tells the three cases apart.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -23,6 +23,12 @@
 /// Retry-After delay for a request whose key has no usable owner.
 constexpr Duration kNoOwnerRetryAfter = milliseconds(300);
 
+/// Maximum time for which a request of `route` waits for a free server.
+Duration MaxWait(const model::Route& route) {
+  return std::chrono::duration_cast<Duration>(route.latency_objective *
+                                              kMaxWaitShare);
+}
+
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
@@ -297,6 +303,13 @@
         ErrorKind::kServerConnect,
         "the key's owner is ejected after failed attempts");
   }
+  const Duration full_for = state.loads.FullFor(range->owner, now);
+  const Instant wait_deadline =
+      job.is_waiting ? job.wait_deadline : now + MaxWait(*job.route);
+  if (now + full_for > wait_deadline) {
+    return DispatchDecision::RefuseWith(ErrorKind::kQueueFull,
+                                        "the key's owner is full", full_for);
+  }
   if (!state.loads.HasCapacity(range->owner, now)) return {};
   job.owner_fence = range->fence;
   return DispatchDecision::SendTo(range->owner);
@@ -322,8 +335,7 @@
     // throughput of a server that serves many instances.
     queue.completions_per_second = state.loads.MaxThroughput(owner, now);
   }
-  queue.max_wait = std::chrono::duration_cast<Duration>(
-      job.route->latency_objective * kMaxWaitShare);
+  queue.max_wait = MaxWait(*job.route);
   if (!policy::ShouldQueue(queue, job.deadline - now)) {
     this->Refuse(job, ErrorKind::kQueueFull,
                  "the expected wait for a server is too long",
--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -198,6 +198,11 @@
     case TransferEnd::kCancelled:
       break;
   }
+  const bool reset = result.connected && !result.reused_connection &&
+                     (result.end == TransferEnd::kBroken ||
+                      result.end == TransferEnd::kNotSent);
+  // The key has no other server, and a full server resets connections.
+  if (job.keyed && reset) end = AttemptOutcome::kReset;
   if (result.possibly_sent) {
     job.possible_runs += 1;
     // The cause may also have broken the other idle connections to the server.
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -25,7 +25,9 @@
   kComplete,   ///< A whole answer arrived.
   kNotSent,    ///< No byte of the request can have reached the server.
   kTimedOut,   ///< No whole answer by the deadline; possibly sent.
-  kBroken,     ///< The connection failed after the request may have left.
+  /// The connection failed after the request may have left. ServerLinks: before
+  /// a byte of an answer arrived.
+  kBroken,
   kTruncated,  ///< The answer began but is not whole.
   kTooLarge,   ///< The answer exceeds the limit.
   kCancelled,  ///< Cancel() was called.
@@ -35,6 +37,8 @@
   TransferEnd end = TransferEnd::kNotSent;
   bool possibly_sent = false;
   bool reused_connection = false;
+  /// The server accepted the connection. Only ServerLinks sets this.
+  bool connected = false;
   HttpAnswer answer;  ///< With kComplete.
 };
 
--- a/src/net/server_links.cc
+++ b/src/net/server_links.cc
@@ -159,7 +159,8 @@
       }
       this->owner.Retire(*this);
     } else if (got < 0) {
-      this->Fail(TransferEnd::kBroken);
+      this->Fail(this->reader->Started() ? TransferEnd::kTruncated
+                                         : TransferEnd::kBroken);
     } else if (got == 0) {
       this->OnEnd();
     } else {
@@ -317,6 +318,7 @@
     result.possibly_sent = this->sent_bytes > 0;
     result.end = result.possibly_sent ? end : TransferEnd::kNotSent;
     result.reused_connection = this->reused;
+    result.connected = !this->connecting;
     this->owner.Finish(*this, std::move(result), false);
   }
 
--- a/src/policy/server_loads.cc
+++ b/src/policy/server_loads.cc
@@ -55,6 +55,8 @@
       return "broken";
     case AttemptOutcome::kTimedOut:
       return "timed-out";
+    case AttemptOutcome::kReset:
+      return "reset";
     case AttemptOutcome::kInconclusive:
       return "inconclusive";
   }
@@ -138,15 +140,35 @@
          expected_attempts;
 }
 
+double ServerLoads::MaxLoad(const Server& server) const {
+  return server.listed.slots * (1 + this->tuning.max_waiting_per_slot);
+}
+
 bool ServerLoads::HasCapacity(const Server& server, Instant now) const {
-  const double max_load =
-      server.listed.slots * (1 + this->tuning.max_waiting_per_slot);
-  return this->EstimatedLoad(server, now) + 1 <= max_load;
+  return this->EstimatedLoad(server, now) + 1 <= this->MaxLoad(server);
 }
 
 bool ServerLoads::HasCapacity(std::string_view id, Instant now) const {
   const auto found = this->servers.find(id);
-  return found != this->servers.end() && this->HasCapacity(found->second, now);
+  return found != this->servers.end() && now >= found->second.full_until &&
+         this->HasCapacity(found->second, now);
+}
+
+Duration ServerLoads::FullFor(std::string_view id, Instant now) const {
+  const auto found = this->servers.find(id);
+  if (found == this->servers.end() || now >= found->second.full_until)
+    return Duration(0);
+  return found->second.full_until - now;
+}
+
+void ServerLoads::BackOff(Server& server, Instant now) {
+  // Requests that were sent before the server was known to be full.
+  if (now < server.full_until) return;
+  const auto first = FromSeconds(this->AgedServiceTime(server, now));
+  server.full_backoff =
+      std::min<Duration>(std::max<Duration>(first, 2 * server.full_backoff),
+                         this->tuning.max_full_backoff);
+  server.full_until = now + server.full_backoff;
 }
 
 std::optional<LoadEstimate> ServerLoads::EstimateLoad(std::string_view id,
@@ -249,6 +271,7 @@
       server.service_time_at = now;
       server.consecutive_failures = 0;
       server.failure_share *= 1 - kFailureGain;
+      server.full_backoff /= 2;
       break;
     }
     case AttemptOutcome::kShed:
@@ -260,6 +283,10 @@
           server.other_instances_load,
           server.listed.slots * (1 + this->tuning.max_waiting_per_slot));
       server.reported_at = now;
+      this->BackOff(server, now);
+      break;
+    case AttemptOutcome::kReset:
+      this->BackOff(server, now);
       break;
     case AttemptOutcome::kUnreachable:
       this->RecordFailure(server, now);
--- a/src/policy/server_loads.h
+++ b/src/policy/server_loads.h
@@ -45,6 +45,9 @@
   kUnreachable,  ///< No connection could be established.
   kBroken,       ///< The connection failed, or the answer was unusable.
   kTimedOut,     ///< No answer by the deadline.
+  /// The server reset or closed a new connection without sending a byte. A
+  /// server whose queue or connections are full does so.
+  kReset,
   /// Indicates nothing about the server, for example because the caller
   /// disconnected first.
   kInconclusive,
@@ -80,6 +83,10 @@
   double latency_gain = 0.15;
   /// The weight of a reported load halves whenever this time has passed.
   kernel::Duration reported_load_half_life = kernel::milliseconds(400);
+  /// Longest time for which the owner of a key gets no requests after it
+  /// refused one. The time doubles with each further refusal, so that the
+  /// requests of any number of instances adapt to what the owner can serve.
+  kernel::Duration max_full_backoff = kernel::milliseconds(1600);
   /// Maximum number of requests that wait at a server, per slot.
   double max_waiting_per_slot = 1.2;
   /// Added to the expected latency at a server of another failure domain, in
@@ -137,6 +144,10 @@
   /// Whether `id` can accept another request, in its slots or its queue.
   bool HasCapacity(std::string_view id, kernel::Instant now) const;
 
+  /// Remaining time for which `id` gets no requests because it was full; zero
+  /// when it was not.
+  kernel::Duration FullFor(std::string_view id, kernel::Instant now) const;
+
   /// Nothing when `id` is not listed.
   std::optional<LoadEstimate> EstimateLoad(std::string_view id,
                                            kernel::Instant now) const;
@@ -183,6 +194,9 @@
     /// the server reported at `reported_at`.
     double other_instances_load = 0;
     kernel::Instant reported_at = kernel::kNever;
+    /// The server was full and gets no requests for its keys before this time.
+    kernel::Instant full_until = kernel::kNever;
+    kernel::Duration full_backoff{0};
     double service_time_s = 0;  ///< Moving average; 0 before the first answer.
     kernel::Instant service_time_at = kernel::kNever;
     double long_term_service_time_s = 0;  ///< Does not decay with time.
@@ -225,6 +239,11 @@
   double AgedFailureShare(const Server& server, kernel::Instant now) const;
   double ExpectedLatency(const Server& server, kernel::Instant now) const;
   bool HasCapacity(const Server& server, kernel::Instant now) const;
+  /// The load at which a server counts as full.
+  double MaxLoad(const Server& server) const;
+  /// Stops sending requests for the keys of a server that refused one because
+  /// it was full, without saying how long it will be.
+  void BackOff(Server& server, kernel::Instant now);
   void RecordFailure(Server& server, kernel::Instant now);
   void Eject(Server& server, kernel::Instant now);
 
--- a/test/correctness/data_path_test.cc
+++ b/test/correctness/data_path_test.cc
@@ -193,6 +193,14 @@
     if (this->descriptor >= 0) close(this->descriptor);
     this->descriptor = -1;
   }
+  /// Resets the connection; the peer has read what was sent before.
+  void Reset() {
+    std::this_thread::sleep_for(milliseconds(50));
+    const linger at_once{1, 0};
+    setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &at_once,
+               sizeof(at_once));
+    this->Close();
+  }
   void ReadRequest() {
     std::string got;
     char buffer[1024];
@@ -370,6 +378,12 @@
       const auto result = first.get();
       CHECK(result.end == TransferEnd::kBroken);
       CHECK(result.possibly_sent);
+      CHECK(result.connected);
+    }
+    SUBCASE("that is reset after its first byte was not refused") {
+      server.Send("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\n1");
+      server.Reset();
+      CHECK(first.get().end == TransferEnd::kTruncated);
     }
     SUBCASE("is reset when the request is given up at its deadline") {
       links.CheckTime();
@@ -387,6 +401,7 @@
   const auto result = links.Start(address, "a", false).get();
   CHECK(result.end == TransferEnd::kNotSent);
   CHECK_FALSE(result.possibly_sent);
+  CHECK_FALSE(result.connected);
 }
 
 }  // namespace chervilmux::net
--- a/test/correctness/server_loads_test.cc
+++ b/test/correctness/server_loads_test.cc
@@ -326,6 +326,48 @@
   }
 }
 
+// Failure: a server that resets connections because it is full counts as broken
+// and is ejected, so that all requests for its keys are refused.
+TEST_CASE("the owner of keys that resets new connections counts as full") {
+  ServerLoads loads("near");
+  const auto owner = MakeServer("n1", "near");
+  Instant now(seconds(10));
+  loads.Update({&owner, 1}, now, now);
+  const auto attempt = [&](AttemptOutcome outcome) {
+    loads.OnSent("n1");
+    loads.OnCompletion("n1", outcome, milliseconds(2), std::nullopt, now);
+  };
+  std::vector<Duration> pauses;
+  for (int i = 0; i < 6; ++i) {
+    attempt(AttemptOutcome::kReset);
+    CHECK_FALSE(loads.IsEjected("n1", now));
+    CHECK_FALSE(loads.HasCapacity("n1", now));
+    pauses.push_back(loads.FullFor("n1", now));
+    now += pauses.back();
+    CHECK(loads.HasCapacity("n1", now));
+  }
+  SUBCASE("the time without requests grows with each reset, up to a limit") {
+    CHECK(pauses[1] == 2 * pauses[0]);
+    CHECK(pauses[5] >= pauses[4]);
+    CHECK(pauses[5] <= ServerLoadsTuning().max_full_backoff);
+  }
+  SUBCASE("it shrinks with each request that is served") {
+    attempt(AttemptOutcome::kServed);
+    attempt(AttemptOutcome::kReset);
+    CHECK(loads.FullFor("n1", now) <= pauses[5]);
+    for (int i = 0; i < 6; ++i) attempt(AttemptOutcome::kServed);
+    now += seconds(5);
+    attempt(AttemptOutcome::kReset);
+    CHECK(loads.FullFor("n1", now) < pauses[2]);
+  }
+  SUBCASE("resets of requests sent before do not prolong it") {
+    attempt(AttemptOutcome::kReset);
+    const Duration pause = loads.FullFor("n1", now);
+    attempt(AttemptOutcome::kReset);
+    CHECK(loads.FullFor("n1", now) == pause);
+  }
+}
+
 // Failure: callers that were refused together retry together and cause the next
 // overload.
 TEST_CASE("the retry-after times of refused callers are spread") {
