The owner of a key is judged by its own fresh reports alone

Cause: an instance estimates a server that it has not heard for a while by the mean of the service. 79 instances and 123 servers exchange a request every 6 s a pair, so that the estimate was nearly always that mean, in which busy servers weigh more, as they answer more; and an owner that gets no request reports nothing newer. Change: whether an owner has room follows from what it reported itself, while that is fresh: its load fades, and a report of a full queue closes it for the time that the queue needs to drain. For services without keys, the mean fades too: while all servers counted as full, no request was sent that could have brought a newer report (the same lock-out, found by looking for it).

--- a/src/policy/server_loads.cc
+++ b/src/policy/server_loads.cc
@@ -89,16 +89,25 @@
   this->servers = std::move(next);
 }
 
+double ServerLoads::ReportWeight(const Server& server, Instant now) const {
+  if (server.reported_at == kernel::kNever) return 0;
+  return std::exp2(-ToSeconds(now - server.reported_at) /
+                   ToSeconds(this->tuning.reported_load_half_life));
+}
+
+/// The mean decays without reports: while all servers count as full, no request
+/// is sent that could bring a new one.
+double ServerLoads::MeanOtherLoad(const Server& server, Instant now) const {
+  if (this->mean_other_load_at == kernel::kNever) return 0;
+  const double age = ToSeconds(now - this->mean_other_load_at);
+  return this->mean_other_load_per_slot * server.listed.slots *
+         std::exp2(-age / kEstimateHalfLifeS);
+}
+
 double ServerLoads::EstimatedLoad(const Server& server, Instant now) const {
-  const double mean_other_load =
-      this->mean_other_load_per_slot * server.listed.slots;
-  if (server.reported_at == kernel::kNever)
-    return server.in_flight + mean_other_load;
-  const double age = ToSeconds(now - server.reported_at);
-  const double weight =
-      std::exp2(-age / ToSeconds(this->tuning.reported_load_half_life));
+  const double weight = this->ReportWeight(server, now);
   return server.in_flight + server.other_instances_load * weight +
-         mean_other_load * (1 - weight);
+         this->MeanOtherLoad(server, now) * (1 - weight);
 }
 
 double ServerLoads::AgedServiceTime(const Server& server, Instant now) const {
@@ -150,8 +159,12 @@
 
 bool ServerLoads::HasCapacity(std::string_view id, Instant now) const {
   const auto found = this->servers.find(id);
-  return found != this->servers.end() && now >= found->second.full_until &&
-         this->HasCapacity(found->second, now);
+  if (found == this->servers.end()) return false;
+  const Server& server = found->second;
+  const double reported_load =
+      server.other_instances_load * this->ReportWeight(server, now);
+  return now >= server.full_until &&
+         server.in_flight + reported_load + 1 <= this->MaxLoad(server);
 }
 
 Duration ServerLoads::FullFor(std::string_view id, Instant now) const {
@@ -253,6 +266,14 @@
         server.other_instances_load / std::max(1U, server.listed.slots);
     this->mean_other_load_per_slot +=
         kOtherLoadGain * (other_load_per_slot - this->mean_other_load_per_slot);
+    this->mean_other_load_at = now;
+    const double excess = all + 1 - this->MaxLoad(server);
+    if (excess > 0) {
+      const double drain_time = excess * this->AgedServiceTime(server, now) /
+                                std::max(1U, server.listed.slots);
+      server.full_until =
+          std::max(server.full_until, now + FromSeconds(drain_time));
+    }
   }
   switch (end) {
     case AttemptOutcome::kServed: {
--- a/src/policy/server_loads.h
+++ b/src/policy/server_loads.h
@@ -141,7 +141,10 @@
     return this->MinCostServer(usable_servers.local_servers, now);
   }
 
-  /// Whether `id` can accept another request, in its slots or its queue.
+  /// Whether the owner `id` of a key can accept another request, in its slots
+  /// or its queue. Only what `id` itself has reported counts, and for a short
+  /// time: there is no other server to choose, and an owner that gets no
+  /// request reports nothing newer.
   bool HasCapacity(std::string_view id, kernel::Instant now) const;
 
   /// Remaining time for which `id` gets no requests because it was full; zero
@@ -241,6 +244,11 @@
   bool HasCapacity(const Server& server, kernel::Instant now) const;
   /// The load at which a server counts as full.
   double MaxLoad(const Server& server) const;
+  /// Weight of the load that `server` last reported.
+  double ReportWeight(const Server& server, kernel::Instant now) const;
+  /// Mean load that other instances cause at `server`, by all recent reports of
+  /// the service.
+  double MeanOtherLoad(const Server& server, kernel::Instant now) const;
   /// Stops sending requests for the keys of a server that refused one because
   /// it was full, without saying how long it will be.
   void BackOff(Server& server, kernel::Instant now);
@@ -253,6 +261,7 @@
   double mean_service_time_s = 0;  ///< Over all servers.
   /// Mean of `other_instances_load` per slot, over all servers.
   double mean_other_load_per_slot = 0;
+  kernel::Instant mean_other_load_at = kernel::kNever;
 };
 
 }  // namespace chervilmux::policy
--- a/test/correctness/server_loads_test.cc
+++ b/test/correctness/server_loads_test.cc
@@ -368,6 +368,26 @@
   }
 }
 
+// Failure: an instance that found all servers full sends no request, so that it
+// never hears that they have room again.
+TEST_CASE("servers that were all full are tried again without a new report") {
+  TestService service;
+  ReportedLoad full;
+  full.slots = 4;
+  full.running = 4;
+  full.waiting = 20;
+  for (int round = 0; round < 20; ++round) {
+    for (const auto& server : service.servers) {
+      service.loads.OnSent(server.id);
+      service.loads.OnCompletion(server.id, AttemptOutcome::kServed,
+                                 milliseconds(50), full, service.now);
+    }
+  }
+  REQUIRE_FALSE(service.Choose());
+  service.now += seconds(10);
+  CHECK(service.Choose());
+}
+
 // Failure: callers that were refused together retry together and cause the next
 // overload.
 TEST_CASE("the retry-after times of refused callers are spread") {
