Instances with more processor time claim the lease of a keyed service first

Cause: what the leader has to do grows with servers and instances, and which instance leads was drawn by lot; 71 of 79 have a tenth of a core, 8 a half. Change: the delay before a claim falls with the cores that the platform grants an instance; the lot decides among equal ones. Evidence: claim_stagger_test: half a core claims before a tenth whatever the lot; with the lot alone (0 to 1 for all) it fails by construction.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "kernel/json.h"
+#include "node/claim_stagger.h"
 #include "observe/log.h"
 
 namespace chervilmux::node {
@@ -245,8 +246,9 @@
     ranges::GrantorTiming timing;
     timing.grant_duration =
         std::min(timing.grant_duration, this->settings.longest_hold);
-    const double stagger =
-        std::uniform_real_distribution<double>(0, 1)(this->random);
+    const double stagger = ClaimStagger(
+        this->settings.processor_share,
+        std::uniform_real_distribution<double>(0, 1)(this->random));
     auto created =
         std::make_unique<KeyService>(this->registry, name, this->settings.name,
                                      stagger, timing, std::move(events));
