Changes of owners reach the instances through a tree

Cause: the leader's messages per change grow with the instances, and the changes with the servers. Change: each instance passes a change on to at most 8 others, in a tree over the registered names that all compute alike; one that does not answer is stepped over for 3 s. What is missed comes with the next sync, as before. Changes within 40 ms are sent together. Evidence: fan_out_test: at 8, 80, 300 and 17,000 instances each gets one copy, none sends more than 8, at most 5 steps. Before, the leader sent 7, 79, 299.

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -78,6 +78,8 @@
                      const net::HttpRequest& request);
   SyncReply ReplyTo(const SyncRequest& request);
   void Publish(const ranges::RangeDelta& change);
+  void PassOn(const std::string& leader, const std::string& body,
+              const std::string& sender);
   void OnChangedOwners(const std::string& body);
   void PostToPeer(const std::string& address, std::string_view path,
                   std::string body,
@@ -124,6 +126,11 @@
   ServerList servers;
   std::map<std::string, std::unique_ptr<KeyService>, std::less<>> key_services;
   std::set<std::string, std::less<>> syncing;  ///< Addresses being asked.
+  /// Instances that did not take a change of owners, and until when they get
+  /// none.
+  std::map<std::string, kernel::Instant, std::less<>> unreachable_until;
+  /// The newest change of owners passed on, by service.
+  std::map<std::string, ViewVersion, std::less<>> passed_on;
   kernel::Instant next_sync = kernel::kNever;
   kernel::Instant next_register = kernel::kNever;
   bool registering = false;
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "node/fan_out.h"
 #include "node/node.h"
 #include "observe/log.h"
 
@@ -17,6 +18,9 @@
 /// the 2 s in which a configuration must be in force.
 constexpr Duration kSyncPeriod = milliseconds(500);
 constexpr Duration kPeerTimeout = milliseconds(400);
+/// An instance that did not take a change of owners gets none for this long;
+/// those that would have heard it from that instance get it directly.
+constexpr Duration kUnreachableTime = milliseconds(3000);
 constexpr std::string_view kSyncPath = "/peer/sync";
 constexpr std::string_view kOwnersPath = "/peer/owners";
 
@@ -190,12 +194,35 @@
 }
 
 void Node::Publish(const ranges::RangeDelta& change) {
-  const std::string body = ranges::EncodeDelta(change);
-  for (const auto& [name, record] : this->readers.Instances()) {
+  this->PassOn(change.leader, ranges::EncodeDelta(change), this->self.name);
+}
+
+/// Sends a change of owners to the instances that hear it from `sender`. The
+/// leader sends to a few, and these pass it on. One that is not reached learns
+/// it with its next sync.
+void Node::PassOn(const std::string& leader, const std::string& body,
+                  const std::string& sender) {
+  std::vector<std::string> names;
+  for (const auto& [name, record] : this->readers.Instances())
+    names.push_back(name);
+  const Instant now = kernel::Now();
+  for (const auto& name :
+       FanOutTree(std::move(names), leader).Children(sender)) {
     if (name == this->self.name) continue;
-    // An instance that misses this one learns it with its next sync.
-    this->PostToPeer(record.peer_address, kOwnersPath, body,
-                     [](const net::TransferResult&) {});
+    const auto unreachable = this->unreachable_until.find(name);
+    if (unreachable != this->unreachable_until.end() &&
+        now < unreachable->second) {
+      this->PassOn(leader, body, name);
+      continue;
+    }
+    const auto& address = this->readers.Instances().at(name).peer_address;
+    this->PostToPeer(
+        address, kOwnersPath, body,
+        [this, leader, body, name](const net::TransferResult& result) {
+          if (result.end == net::TransferEnd::kComplete) return;
+          this->unreachable_until[name] = kernel::Now() + kUnreachableTime;
+          this->PassOn(leader, body, name);
+        });
   }
 }
 
@@ -205,6 +232,12 @@
     observe::LogWarn("owners_malformed", {{"why", change.error().detail}});
     return;
   }
+  const ViewVersion version(change.value().term, change.value().sequence);
+  ViewVersion& passed_on = this->passed_on[change.value().service];
+  if (version > passed_on) {
+    passed_on = version;
+    this->PassOn(change.value().leader, body, this->self.name);
+  }
   const auto service = this->key_services.find(change.value().service);
   if (service == this->key_services.end()) return;
   if (service->second->OnDelta(change.value())) return;
--- a/src/ranges/range_grantor.cc
+++ b/src/ranges/range_grantor.cc
@@ -363,7 +363,7 @@
   this->PrepareWrite(now);
   this->EmitWrite(now, actions);
   if (this->MayRenewGrants(now)) this->SendOrders(now, actions);
-  this->RefreshPublishedTable(actions);
+  this->RefreshPublishedTable(now, actions);
 }
 
 void RangeGrantor::PrepareWrite(Instant now) {
@@ -413,8 +413,8 @@
       this->range_states, Phase::kExpiring, &RangeState::phase));
 }
 
-void RangeGrantor::RefreshPublishedTable(GrantorActions& actions) {
-  if (this->role != Role::kLeader) return;
+void RangeGrantor::RefreshPublishedTable(Instant now, GrantorActions& actions) {
+  if (this->role != Role::kLeader || now < this->next_publish_at) return;
   std::vector<KeyRange> current;
   current.reserve(this->range_states.size());
   for (const auto& state : this->range_states) {
@@ -435,6 +435,7 @@
   this->table.sequence += 1;
   this->published_table = this->table;
   this->published_table.ranges = std::move(current);
+  this->next_publish_at = now + this->timing.publish_period;
   actions.publish = true;
 }
 
--- a/src/ranges/range_grantor.h
+++ b/src/ranges/range_grantor.h
@@ -67,6 +67,8 @@
   /// A follower reads the lease after this time without contact with the
   /// leader.
   kernel::Duration suspect_after = kernel::milliseconds(900);
+  /// Changes of owners within this time are sent to the instances together.
+  kernel::Duration publish_period = kernel::milliseconds(40);
   kernel::Duration plan_period = kernel::milliseconds(100);
   kernel::Duration balance_period = kernel::milliseconds(700);
   /// Timeout of a grant.
@@ -338,7 +340,7 @@
   /// Joins adjacent ranges whose state is equal: the same server owns both, it
   /// accepted a grant of each, and no order for either is unanswered.
   void MergeRangeStates();
-  void RefreshPublishedTable(GrantorActions& actions);
+  void RefreshPublishedTable(kernel::Instant now, GrantorActions& actions);
   ServerState* FindServer(std::string_view id);
   const ServerState* FindServer(std::string_view id) const;
   /// InheritedExpiry() at the last claim.
@@ -384,6 +386,7 @@
   LoadMap load;
   kernel::Instant next_plan_at = kernel::kNever;
   kernel::Instant next_balance_at = kernel::kNever;
+  kernel::Instant next_publish_at = kernel::kNever;
   kernel::Instant next_lease_write_at = kernel::kNever;
   /// Added to the highest fencing token by the next claim of the lease, after a
   /// server has seen a higher token than the committed table contains.
