Bytes without end, from a server or a caller, fill a bounded part of the memory

Users asked: bytes that are no answer may come without end, in a head or a body, until the caller closes. Cause: each unfinished answer of a server could grow to 64 MB, several together without a bound; the smallest instances have 160 MB. Towards callers, what came behind a last request, or far ahead of the answers, was kept without a bound. Change: unfinished answers share a quarter of the instance's memory; beyond it the largest is given up, its connection reset, and its request answered at once as one whose outcome is unknown. Evidence: data_path_test, both ends: endless status line, header, headers, body, chunks, interim answers, answers to others; endless head, body, bytes behind a request, requests ahead. Endless heads, interim and foreign answers were bounded before and end as truncated or at the deadline.

--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -22,9 +22,9 @@
 namespace chervilmux::net {
 
 enum class TransferEnd : std::uint8_t {
-  kComplete,   ///< A whole answer arrived.
-  kNotSent,    ///< No byte of the request can have reached the server.
-  kTimedOut,   ///< No whole answer by the deadline; possibly sent.
+  kComplete,  ///< A whole answer arrived.
+  kNotSent,   ///< No byte of the request can have reached the server.
+  kTimedOut,  ///< No whole answer by the deadline; possibly sent.
   /// The connection failed after the request may have left. ServerLinks: before
   /// a byte of an answer arrived.
   kBroken,
--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -128,13 +128,15 @@
       this->OnCallerLeft();
       return 0;
     }
-    if (this->lingering) return 0;
+    // Nothing behind the last request is read any more.
+    if (this->lingering || this->ending) return 0;
     if (!this->reader.InMessage()) {
       this->request_deadline =
           kernel::Now() + this->owner.limits.request_timeout;
     }
     this->reader.Append({chunk.data(), static_cast<std::size_t>(got)});
     this->ReadRequests();
+    this->LimitInput();
     return 0;
   }
 
@@ -177,6 +179,7 @@
   }
   Instant IdleUntil() const { return this->idle_until; }
   void CloseIdle() { this->BeginLinger(); }
+  std::size_t BufferedBytes() const { return this->reader.BufferedBytes(); }
 
   void SetLimits(const ReadLimits& limits) { this->reader.SetLimits(limits); }
 
@@ -195,15 +198,27 @@
     this->reading = false;
   }
 
-  /// Returns whether another request may be waiting in the buffer.
-  bool ReadRequest() {
+  /// Whether requests that the caller sent ahead are left in the buffer.
+  bool HoldsBack() const {
     // After a stop what comes behind pending requests stays unread, or a caller
     // that always sends ahead would keep its connection to the end.
     const bool stays_unread = this->owner.stopped && !this->slots.empty();
-    if (this->retired || this->ending || stays_unread ||
-        this->slots.size() >= kMaxPipelined) {
-      return false;
-    }
+    return stays_unread || this->slots.size() >= kMaxPipelined;
+  }
+
+  /// Takes no more bytes from a caller that has sent far ahead until some of
+  /// its requests are answered.
+  void LimitInput() {
+    if (this->retired) return;
+    const bool full =
+        this->HoldsBack() && !this->ending &&
+        this->reader.BufferedBytes() >= this->owner.limits.read.max_head_bytes;
+    this->input_watch.Set(!full);
+  }
+
+  /// Returns whether another request may be waiting in the buffer.
+  bool ReadRequest() {
+    if (this->retired || this->ending || this->HoldsBack()) return false;
     const auto state = this->reader.Advance();
     if (this->reader.TakeExpectsContinue() && this->slots.empty()) {
       this->output += "HTTP/1.1 100 Continue\r\n\r\n";
@@ -259,6 +274,7 @@
     this->idle_until = kernel::Now() + this->owner.limits.idle_timeout;
     this->Flush();
     this->ReadRequests();
+    this->LimitInput();
   }
 
   void Flush() {
@@ -316,6 +332,8 @@
   std::string output;
   EventWatch output_watch{this->owner.task.Reactor(), *this,
                           ACE_Event_Handler::WRITE_MASK, false};
+  EventWatch input_watch{this->owner.task.Reactor(), *this,
+                         ACE_Event_Handler::READ_MASK, true};
   bool ending = false;  ///< Reads no further request.
   bool close_when_flushed = false;
   bool lingering = false;
@@ -453,6 +471,12 @@
   this->impl->stopped = true;
 }
 
+std::size_t HttpFront::BufferedBytes() const {
+  std::size_t sum = 0;
+  for (const auto& [id, connection] : this->impl->connections)
+    sum += connection->BufferedBytes();
+  return sum;
+}
 std::size_t HttpFront::Pending() const { return this->impl->pending; }
 std::size_t HttpFront::Connections() const {
   return this->impl->connections.size();
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -81,6 +81,9 @@
   /// Connections that are open.
   std::size_t Connections() const;
 
+  /// Bytes of requests that are not whole, or not taken yet.
+  std::size_t BufferedBytes() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl;
--- a/src/net/message_reader.cc
+++ b/src/net/message_reader.cc
@@ -291,6 +291,9 @@
 const kernel::Error& RequestReader::Refusal() const {
   return this->impl->refusal;
 }
+std::size_t RequestReader::BufferedBytes() const {
+  return this->impl->buffer.size() + this->impl->request.body.size();
+}
 bool RequestReader::InMessage() const {
   return this->impl->head_fed || !this->impl->buffer.empty();
 }
@@ -387,6 +390,9 @@
 std::size_t AnswerReader::Used() const { return this->impl->used; }
 bool AnswerReader::KeepAlive() const { return this->impl->keep_alive; }
 bool AnswerReader::TooLarge() const { return this->impl->too_large; }
+std::size_t AnswerReader::BodySize() const {
+  return this->impl->answer.body.size();
+}
 HttpAnswer AnswerReader::Take() {
   this->impl->answer.headers = std::move(this->impl->collector.headers);
   return std::move(this->impl->answer);
--- a/src/net/message_reader.h
+++ b/src/net/message_reader.h
@@ -52,6 +52,9 @@
   /// Why the request was refused, after kInvalid.
   const kernel::Error& Refusal() const;
 
+  /// Bytes that belong to no whole request yet, and those behind it.
+  std::size_t BufferedBytes() const;
+
   /// Whether any byte of an unfinished request has arrived.
   bool InMessage() const;
 
@@ -91,6 +94,9 @@
 
   bool TooLarge() const;
 
+  /// Bytes of the body read so far.
+  std::size_t BodySize() const;
+
   HttpAnswer Take();
 
  private:
--- a/src/net/server_links.cc
+++ b/src/net/server_links.cc
@@ -42,6 +42,9 @@
 /// A server's own answer at the deadline may still arrive for this long.
 constexpr Duration kAnswerGrace = milliseconds(40);
 
+/// Limit on the bytes of all unfinished answers until one is set.
+constexpr std::size_t kDefaultMaxBufferedBytes = 128U << 20U;
+
 /// How long an idle connection may be used after `answer`.
 Duration IdleTime(const HttpAnswer& answer) {
   const std::string_view header = FindHeader(answer.headers, "keep-alive");
@@ -87,10 +90,15 @@
 
   void Finish(Link& link, TransferResult result, bool reusable);
   void Retire(Link& link);
+  std::size_t BufferedBytes() const;
+  /// Gives up the largest unfinished answers while all together exceed the
+  /// limit.
+  void LimitBufferedBytes();
 
   kernel::ReactorTask& task;
   TransferId last_id = 0;
   std::uint64_t opened = 0;
+  std::size_t max_buffered_bytes = kDefaultMaxBufferedBytes;
   std::map<Link*, std::unique_ptr<Link>> links;
   std::map<TransferId, Link*> busy;
   std::map<Address, std::vector<Link*>> idle;
@@ -211,6 +219,13 @@
     }
   }
 
+  /// Bytes of the unfinished answer.
+  std::size_t BufferedBytes() const {
+    return this->exchange && this->reader ? this->reader->BodySize() : 0;
+  }
+
+  void GiveUpAnswer() { this->Fail(TransferEnd::kTooLarge); }
+
   /// Whether the peer has neither closed nor sent anything while idle.
   bool StillQuiet() const {
     char byte = 0;
@@ -273,7 +288,10 @@
                                             : TransferEnd::kTruncated);
         return;
       }
-      if (state == ReadState::kNeedMore) return;
+      if (state == ReadState::kNeedMore) {
+        this->owner.LimitBufferedBytes();
+        return;
+      }
       bytes.remove_prefix(this->reader->Used());
       if (this->OnAnswer(!bytes.empty())) return;
     }
@@ -407,6 +425,28 @@
   this->links.erase(found);
 }
 
+std::size_t ServerLinks::Impl::BufferedBytes() const {
+  std::size_t sum = 0;
+  for (const auto& [id, link] : this->busy) sum += link->BufferedBytes();
+  return sum;
+}
+
+void ServerLinks::Impl::LimitBufferedBytes() {
+  std::size_t sum = this->BufferedBytes();
+  while (sum > this->max_buffered_bytes) {
+    const auto largest = std::ranges::max_element(
+        this->busy, {},
+        [](const auto& entry) { return entry.second->BufferedBytes(); });
+    Link& link = *largest->second;
+    observe::LogWarn("answer_given_up",
+                     {{"server_address", link.address.ToString()},
+                      {"bytes", std::to_string(link.BufferedBytes())},
+                      {"buffered", std::to_string(sum)}});
+    sum -= link.BufferedBytes();
+    link.GiveUpAnswer();
+  }
+}
+
 void ServerLinks::Impl::Cancel(TransferId id) {
   const auto found = this->busy.find(id);
   if (found == this->busy.end()) return;
@@ -444,6 +484,12 @@
   this->impl->CloseIdle(address);
 }
 void ServerLinks::CheckTime(Instant now) { this->impl->CheckTime(now); }
+void ServerLinks::SetMaxBufferedBytes(std::size_t limit) {
+  this->impl->max_buffered_bytes = limit;
+}
+std::size_t ServerLinks::BufferedBytes() const {
+  return this->impl->BufferedBytes();
+}
 std::size_t ServerLinks::OpenTo(const Address& address) const {
   return static_cast<std::size_t>(
       std::ranges::count_if(this->impl->links, [&address](const auto& entry) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -38,6 +38,9 @@
 /// which bound their connections themselves, peers, the store and files.
 constexpr double kCallersShareOfDescriptors = 0.6;
 
+/// Share of the memory that unfinished answers of servers may use.
+constexpr double kAnswersShareOfMemory = 0.25;
+
 InstanceRecord Introduce(const NodeSettings& settings) {
   InstanceRecord record;
   record.name = settings.name;
@@ -81,6 +84,9 @@
       ranges_table(this->store, std::string(kRangesTable), kFollowWait,
                    {[this] { this->OnRanges(); }, [] {}}) {
   this->registry.Add("server_links", this->links);
+  this->links.SetMaxBufferedBytes(static_cast<std::size_t>(
+      kAnswersShareOfMemory *
+      static_cast<double>(this->settings.memory_bytes)));
   dispatch::DispatcherSettings limits;
   limits.failure_domain = this->settings.failure_domain;
   limits.retry_ratio = this->settings.retry_ratio;
--- a/test/correctness/claim_stagger_test.cc
+++ b/test/correctness/claim_stagger_test.cc
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <initializer_list>
+
 namespace chervilmux::node {
 
 TEST_CASE("an instance with more processor time claims a lease earlier") {
--- a/test/correctness/data_path_test.cc
+++ b/test/correctness/data_path_test.cc
@@ -7,11 +7,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <future>
 #include <map>
+#include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "kernel/task.h"
 #include "loopback_listener.h"
@@ -49,6 +52,19 @@
     CHECK(send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
           static_cast<ssize_t>(bytes.size()));
   }
+  /// Sends all of `bytes`. Returns whether the connection took them soon.
+  bool TrySend(std::string_view bytes) const {
+    const timeval patience{0, 200000};
+    setsockopt(this->descriptor, SOL_SOCKET, SO_SNDTIMEO, &patience,
+               sizeof(patience));
+    while (!bytes.empty()) {
+      const ssize_t sent =
+          send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+      if (sent <= 0) return false;
+      bytes.remove_prefix(static_cast<std::size_t>(sent));
+    }
+    return true;
+  }
   /// Reads until `text` has been seen or the connection ends.
   std::string ReadUntil(std::string_view text) const {
     std::string got;
@@ -128,12 +144,16 @@
   return "GET " + url + " HTTP/1.1\r\nHost: h\r\n\r\n";
 }
 
+constexpr std::size_t kMaxBuffered = 1U << 20U;
+
 /// Links to a server that the test plays.
 class Links {
  public:
   Links() {
-    this->task.Post(
-        [this] { this->links = std::make_unique<ServerLinks>(this->task); });
+    this->task.Post([this] {
+      this->links = std::make_unique<ServerLinks>(this->task);
+      this->links->SetMaxBufferedBytes(kMaxBuffered);
+    });
     this->task.Start();
   }
   ~Links() {
@@ -169,10 +189,17 @@
     });
     return future;
   }
-  void CheckTime() {
+  std::size_t BufferedBytes() {
+    std::promise<std::size_t> bytes;
+    this->task.Post([&] { bytes.set_value(this->links->BufferedBytes()); });
+    return bytes.get_future().get();
+  }
+  void CheckTime() { this->CheckTimeAt(seconds(20)); }
+  void CheckTimeNow() { this->CheckTimeAt(seconds(0)); }
+  void CheckTimeAt(kernel::Duration from_now) {
     std::promise<void> done;
     this->task.Post([&] {
-      this->links->CheckTime(kernel::Now() + seconds(20));
+      this->links->CheckTime(kernel::Now() + from_now);
       done.set_value();
     });
     done.get_future().get();
@@ -219,6 +246,26 @@
   void Send(const std::string& bytes) const {
     send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   }
+  /// Sends all of `bytes`. Returns whether the connection is open.
+  bool TrySend(const std::string& bytes) const {
+    std::string_view left = bytes;
+    while (!left.empty()) {
+      const ssize_t sent =
+          send(this->descriptor, left.data(), left.size(), MSG_NOSIGNAL);
+      if (sent < 0) return false;
+      left.remove_prefix(static_cast<std::size_t>(sent));
+    }
+    return true;
+  }
+  /// Whether the peer closes the connection soon.
+  bool IsClosedByPeer() const {
+    constexpr int kTries = 500;
+    for (int i = 0; i < kTries; ++i) {
+      if (!this->TrySend("x")) return true;
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return false;
+  }
   void Answer(const std::string& id, const std::string& body) const {
     this->Send("HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " +
                std::to_string(body.size()) + "\r\n\r\n" + body);
@@ -393,6 +440,155 @@
   }
 }
 
+// Failure: a faulty server that sends bytes without end fills the memory, or
+// keeps its connection and the request past the deadline.
+TEST_CASE("a server that sends bytes without end") {
+  fakes::LoopbackListener listener;
+  Links links;
+  auto result = links.Start(listener.address, "a", true, milliseconds(600));
+  ServerEnd server(listener);
+  server.ReadRequest();
+  const auto end_of = [&](const std::string& start, const std::string& more) {
+    server.Send(start);
+    std::size_t most_buffered = 0;
+    while (result.wait_for(seconds(0)) != std::future_status::ready) {
+      if (!server.TrySend(more)) break;
+      most_buffered = std::max(most_buffered, links.BufferedBytes());
+      links.CheckTimeNow();
+    }
+    CHECK(most_buffered <= kMaxBuffered);
+    CHECK(links.BufferedBytes() == 0);
+    CHECK(server.IsClosedByPeer());
+    return result.get().end;
+  };
+  const std::string block(16U << 10U, 'x');
+  SUBCASE("in the status line") {
+    CHECK(end_of(block, block) == TransferEnd::kTruncated);
+  }
+  SUBCASE("in a header") {
+    CHECK(end_of("HTTP/1.1 200 OK\r\nId: a\r\nX: ", block) ==
+          TransferEnd::kTruncated);
+  }
+  SUBCASE("in many headers") {
+    std::string lines;
+    for (int i = 0; i < 500; ++i) lines += "Header: value\r\n";
+    CHECK(end_of("HTTP/1.1 200 OK\r\nId: a\r\n", lines) ==
+          TransferEnd::kTruncated);
+  }
+  SUBCASE("in a body without a length") {
+    CHECK(end_of("HTTP/1.1 200 OK\r\nId: a\r\n\r\n", block) ==
+          TransferEnd::kTooLarge);
+  }
+  SUBCASE("in a body of many chunks") {
+    CHECK(end_of("HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: "
+                 "chunked\r\n\r\n",
+                 "4000\r\n" + block + "\r\n") == TransferEnd::kTooLarge);
+  }
+  SUBCASE("in interim answers") {
+    std::string interim;
+    for (int i = 0; i < 500; ++i) interim += "HTTP/1.1 102 Wait\r\n\r\n";
+    CHECK(end_of(interim, interim) == TransferEnd::kTimedOut);
+  }
+  SUBCASE("in answers to other requests") {
+    const std::string foreign =
+        "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 16384\r\n\r\n" + block;
+    CHECK(end_of(foreign, foreign) == TransferEnd::kTimedOut);
+  }
+}
+
+// Failure: several faulty servers together fill the memory, or an answer that
+// is nearly whole is given up for them.
+TEST_CASE("servers that send bytes without end share one limit") {
+  fakes::LoopbackListener listener;
+  Links links;
+  auto sound = links.Start(listener.address, "sound", true);
+  ServerEnd sound_server(listener);
+  sound_server.ReadRequest();
+  sound_server.Send(
+      "HTTP/1.1 200 OK\r\nId: sound\r\nContent-Length: 3\r\n\r\n12");
+  std::vector<std::future<TransferResult>> endless;
+  std::vector<std::unique_ptr<ServerEnd>> servers;
+  constexpr int kServers = 5;
+  for (int i = 0; i < kServers; ++i) {
+    endless.push_back(links.Start(listener.address, "a", true));
+    servers.push_back(std::make_unique<ServerEnd>(listener));
+    servers.back()->ReadRequest();
+    servers.back()->Send("HTTP/1.1 200 OK\r\nId: a\r\n\r\n");
+  }
+  const std::string block(16U << 10U, 'x');
+  const auto all_ended = [&] {
+    return std::ranges::all_of(endless, [](const auto& result) {
+      return result.wait_for(seconds(0)) == std::future_status::ready;
+    });
+  };
+  while (!all_ended()) {
+    for (const auto& server : servers) server->TrySend(block);
+    CHECK(links.BufferedBytes() <= kMaxBuffered);
+  }
+  for (auto& result : endless)
+    CHECK(result.get().end == TransferEnd::kTooLarge);
+  sound_server.Send("3");
+  CHECK(sound.get().answer.body == "123");
+}
+
+// Failure: a caller that sends bytes without end fills the memory, or is not
+// answered.
+TEST_CASE("a caller that sends bytes without end") {
+  Front front;
+  ReadLimits limits;
+  limits.max_head_bytes = 16U << 10U;
+  limits.max_body_bytes = 256U << 10U;
+  front.Do([&] {
+    FrontLimits front_limits;
+    front_limits.read = limits;
+    front.front->SetLimits(front_limits);
+  });
+  Caller caller(front.address);
+  const std::string block(16U << 10U, 'x');
+  std::size_t most_buffered = 0;
+  /// Sends blocks until the connection ends or takes no more.
+  const auto send_blocks = [&](const std::string& bytes) {
+    constexpr int kBlocks = 600;
+    for (int i = 0; i < kBlocks && caller.TrySend(bytes); ++i) {
+      front.Do([&] {
+        most_buffered = std::max(most_buffered, front.front->BufferedBytes());
+      });
+    }
+    CHECK(most_buffered <= 2 * limits.max_head_bytes + limits.max_body_bytes);
+  };
+  SUBCASE("in a head is refused, and its connection closed") {
+    caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\nX: ");
+    send_blocks(block);
+    CHECK(caller.ReadUntil("never").starts_with("HTTP/1.1 431"));
+  }
+  SUBCASE("in a body is refused, and its connection closed") {
+    caller.Send(
+        "POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n");
+    send_blocks("4000\r\n" + block + "\r\n");
+    CHECK(caller.ReadUntil("never").starts_with("HTTP/1.1 413"));
+  }
+  SUBCASE("behind a request gets the answer to that request") {
+    caller.Send(Get("/1"));
+    front.arrived.get_future().get();
+    send_blocks(block);
+    front.Answer("/1", "one");
+    const std::string got = caller.ReadUntil("never");
+    CHECK(got.starts_with("HTTP/1.1 200"));
+    CHECK(got.find("one") != std::string::npos);
+    CHECK(got.find("HTTP/1.1 4") > got.find("one"));
+  }
+  SUBCASE("of requests that wait for their answers is not read any further") {
+    front.expected = 32;
+    std::string requests;
+    for (int i = 0; i < 1000; ++i) requests += Get("/" + std::to_string(i));
+    caller.Send(requests.substr(0, 4U << 10U));
+    front.arrived.get_future().get();
+    send_blocks(requests);
+    CHECK(front.Requests() == 32);
+  }
+}
+
 TEST_CASE("a server that does not listen was not asked") {
   fakes::LoopbackListener listener;
   const Address address = listener.address;
