Idle connections of all instances together stay below a server's limit

Cause: an instance kept every connection that a burst had opened, for as long as the server allowed, whatever the number of instances that did the same. Change: an instance keeps at most its share of six tenths of the limit (the configuration's maximum for the service, by the registered instances); where that is below one connection, it keeps one for that part of the time.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "dispatch/dispatcher_state.h"
+#include "policy/connection_share.h"
 
 namespace chervilmux::dispatch {
 namespace {
@@ -397,6 +398,13 @@
       this->wire.MakeServerRequest(job.request, server, job.deadline - now);
   exchange.deadline = job.deadline;
   exchange.may_repeat = job.route->idempotent;
+  const auto service = job.config->services.find(job.service);
+  if (service != job.config->services.end()) {
+    const auto share = policy::ShareOfConnections(
+        service->second.max_connections, this->instance_count);
+    exchange.max_idle = share.max_idle;
+    exchange.idle_time_factor = share.idle_time_factor;
+  }
   exchange.belongs = [this,
                       id = job.metadata.id](const net::HttpAnswer& answer) {
     return this->wire.MatchesRequest(answer, id);
--- a/src/net/server_links.cc
+++ b/src/net/server_links.cc
@@ -316,7 +316,9 @@
     result.possibly_sent = true;
     result.reused_connection = this->reused;
     this->idle_since = kernel::Now();
-    this->idle_until = this->idle_since + IdleTime(answer);
+    this->idle_until = this->idle_since +
+                       std::chrono::duration_cast<Duration>(
+                           IdleTime(answer) * this->exchange->idle_time_factor);
     result.answer = std::move(answer);
     this->owner.Finish(*this, std::move(result), reusable);
     return true;
@@ -398,9 +400,12 @@
                                bool reusable) {
   this->busy.erase(link.id);
   TransferDone done = std::move(link.exchange->done);
+  const std::size_t max_idle = link.exchange->max_idle;
   link.exchange.reset();
   if (reusable) {
-    this->idle[link.address].push_back(&link);
+    auto& pool = this->idle[link.address];
+    pool.push_back(&link);
+    while (pool.size() > max_idle) this->Retire(*pool.front());
   } else {
     this->Retire(link);
   }
--- a/src/net/server_links.h
+++ b/src/net/server_links.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -31,6 +32,11 @@
   kernel::Instant deadline;
   bool may_repeat = false;  ///< Whether the request is idempotent.
   std::size_t max_answer_bytes = 64U << 20U;
+  /// Idle connections to `address` that are kept after this request.
+  std::size_t max_idle = std::numeric_limits<std::size_t>::max();
+  /// Share of the time that the server allows for which this connection is
+  /// kept.
+  double idle_time_factor = 1;
   /// Whether an answer belongs to this request; others are thrown away.
   std::function<bool(const HttpAnswer&)> belongs;
   TransferDone done;
--- a/test/correctness/data_path_test.cc
+++ b/test/correctness/data_path_test.cc
@@ -179,6 +179,7 @@
       exchange.request.headers = {{"Host", "h"}, {"Id", id}};
       exchange.deadline = kernel::Now() + time;
       exchange.may_repeat = may_repeat;
+      exchange.max_idle = this->max_idle;
       exchange.belongs = [id](const HttpAnswer& answer) {
         return FindHeader(answer.headers, "Id") == id;
       };
@@ -189,6 +190,11 @@
     });
     return future;
   }
+  std::size_t OpenTo(const Address& address) {
+    std::promise<std::size_t> count;
+    this->task.Post([&] { count.set_value(this->links->OpenTo(address)); });
+    return count.get_future().get();
+  }
   std::size_t BufferedBytes() {
     std::promise<std::size_t> bytes;
     this->task.Post([&] { bytes.set_value(this->links->BufferedBytes()); });
@@ -208,6 +214,7 @@
   kernel::ReactorTask task;
   std::unique_ptr<ServerLinks> links;
   TransferId last = 0;
+  std::size_t max_idle = 100;
 };
 
 /// The test's end of one connection to a server.
@@ -440,6 +447,24 @@
   }
 }
 
+// Failure: each burst leaves as many idle connections behind as it had requests
+// at once, and the server runs out of connections for all instances.
+TEST_CASE("a server keeps only its share of idle connections") {
+  fakes::LoopbackListener listener;
+  Links links;
+  links.max_idle = 2;
+  std::vector<std::future<TransferResult>> results;
+  std::vector<std::unique_ptr<ServerEnd>> servers;
+  for (int i = 0; i < 5; ++i) {
+    results.push_back(links.Start(listener.address, "a", true));
+    servers.push_back(std::make_unique<ServerEnd>(listener));
+    servers.back()->ReadRequest();
+  }
+  for (const auto& server : servers) server->Answer("a", "1");
+  for (auto& result : results) CHECK(result.get().answer.body == "1");
+  CHECK(links.OpenTo(listener.address) == 2);
+}
+
 // Failure: a faulty server that sends bytes without end fills the memory, or
 // keeps its connection and the request past the deadline.
 TEST_CASE("a server that sends bytes without end") {
