A request is not sent on a new connection once its caller has left

Cause: an instance that is behind handles in one round that a connection to a server is open and that the caller has closed, in any order; the request went out first. Change: once a new connection is open, the caller's socket is asked before the request is sent; a request that nobody waits for ends there. Evidence: data_path_test: the transfer ends as cancelled and the server gets no byte; without the question it gets the request.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -405,6 +405,9 @@
     exchange.max_idle = share.max_idle;
     exchange.idle_time_factor = share.idle_time_factor;
   }
+  exchange.is_wanted = [this, ref = job.ref] {
+    return !this->front->HasCallerLeft(ref);
+  };
   exchange.belongs = [this,
                       id = job.metadata.id](const net::HttpAnswer& answer) {
     return this->wire.MatchesRequest(answer, id);
--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -55,6 +55,14 @@
   job.transfer.reset();
   const Instant now = kernel::Now();
   const std::string service = job.service;
+  if (result.end == net::TransferEnd::kCancelled) {
+    this->metrics.Count("chervilmux_callers_gone_total").Add();
+    this->RecordCompletion(job, AttemptOutcome::kInconclusive, std::nullopt,
+                           now);
+    this->RemoveJob(job);
+    this->DispatchQueue(this->GetOrCreateServiceState(service), now);
+    return;
+  }
   if (result.possibly_sent) {
     job.tried_servers.push_back(job.server_id);
   }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -30,7 +30,7 @@
   kBroken,
   kTruncated,  ///< The answer began but is not whole.
   kTooLarge,   ///< The answer exceeds the limit.
-  kCancelled,  ///< Cancel() was called.
+  kCancelled,  ///< Cancel() was called, or the request is no longer wanted.
 };
 
 struct TransferResult {
--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -194,6 +194,14 @@
     this->Close();
   }
 
+  /// Whether the caller has closed and everything that it sent has been read.
+  bool HasCallerLeft() const {
+    char byte = 0;
+    const ssize_t got =
+        recv(this->stream.get_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EWOULDBLOCK && errno != EINTR);
+  }
+
  private:
   void ReadRequests() {
     if (this->reading) return;
@@ -203,14 +211,6 @@
     this->reading = false;
   }
 
-  /// Whether the caller has closed and everything that it sent has been read.
-  bool HasCallerLeft() const {
-    char byte = 0;
-    const ssize_t got =
-        recv(this->stream.get_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got == 0 || (got < 0 && errno != EWOULDBLOCK && errno != EINTR);
-  }
-
   /// Whether requests that the caller sent ahead are left in the buffer.
   bool HoldsBack() const {
     // After a stop what comes behind pending requests stays unread, or a caller
@@ -484,6 +484,11 @@
   this->impl->stopped = true;
 }
 
+bool HttpFront::HasCallerLeft(const RequestRef& ref) const {
+  const auto found = this->impl->connections.find(ref.connection);
+  return found == this->impl->connections.end() ||
+         found->second->HasCallerLeft();
+}
 std::size_t HttpFront::BufferedBytes() const {
   std::size_t sum = 0;
   for (const auto& [id, connection] : this->impl->connections)
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -81,6 +81,10 @@
   /// Connections that are open.
   std::size_t Connections() const;
 
+  /// Whether the caller has closed its connection. An instance that is behind
+  /// can know this before FrontEvents::on_gone tells it.
+  bool HasCallerLeft(const RequestRef& ref) const;
+
   /// Bytes of requests that are not whole, or not taken yet.
   std::size_t BufferedBytes() const;
 
--- a/src/net/server_links.cc
+++ b/src/net/server_links.cc
@@ -252,6 +252,10 @@
       return false;
     }
     this->connecting = false;
+    if (this->exchange->is_wanted && !this->exchange->is_wanted()) {
+      this->Fail(TransferEnd::kCancelled);
+      return false;
+    }
     return true;
   }
 
@@ -336,7 +340,9 @@
     this->ResetOnClose();
     TransferResult result;
     result.possibly_sent = this->sent_bytes > 0;
-    result.end = result.possibly_sent ? end : TransferEnd::kNotSent;
+    const bool is_exact =
+        result.possibly_sent || end == TransferEnd::kCancelled;
+    result.end = is_exact ? end : TransferEnd::kNotSent;
     result.reused_connection = this->reused;
     result.connected = !this->connecting;
     this->owner.Finish(*this, std::move(result), false);
--- a/src/net/server_links.h
+++ b/src/net/server_links.h
@@ -37,6 +37,9 @@
   /// Share of the time that the server allows for which this connection is
   /// kept.
   double idle_time_factor = 1;
+  /// Asked once a new connection is open, before the request is sent: whether
+  /// its caller still waits. Otherwise the transfer ends as kCancelled.
+  std::function<bool()> is_wanted;
   /// Whether an answer belongs to this request; others are thrown away.
   std::function<bool(const HttpAnswer&)> belongs;
   TransferDone done;
--- a/test/correctness/data_path_test.cc
+++ b/test/correctness/data_path_test.cc
@@ -183,6 +183,7 @@
       exchange.deadline = kernel::Now() + time;
       exchange.may_repeat = may_repeat;
       exchange.max_idle = this->max_idle;
+      exchange.is_wanted = [this] { return this->is_wanted; };
       exchange.belongs = [id](const HttpAnswer& answer) {
         return FindHeader(answer.headers, "Id") == id;
       };
@@ -218,6 +219,7 @@
   std::unique_ptr<ServerLinks> links;
   TransferId last = 0;
   std::size_t max_idle = 100;
+  bool is_wanted = true;
 };
 
 /// The test's end of one connection to a server.
@@ -636,6 +638,19 @@
   }
 }
 
+// Failure: a request is sent on a new connection although its caller has left
+// while the connection was opened.
+TEST_CASE("a request that nobody waits for is not sent on a new connection") {
+  fakes::LoopbackListener listener;
+  Links links;
+  links.is_wanted = false;
+  const auto result = links.Start(listener.address, "a", true).get();
+  CHECK(result.end == TransferEnd::kCancelled);
+  CHECK_FALSE(result.possibly_sent);
+  ServerEnd server(listener);
+  CHECK(server.NextError() == ECONNRESET);
+}
+
 TEST_CASE("a server that does not listen was not asked") {
   fakes::LoopbackListener listener;
   const Address address = listener.address;
