--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -25,7 +25,7 @@
   /// Bounds on requests sent to a second server, over all instances.
   double retry_ratio = 0.2;
   double retry_slack = 50;
-  double processor_share = 1;          ///< Cores that this process may use.
+  double processor_share = 1;              ///< Cores that this process may use.
   std::size_t memory_bytes = 256U << 20U;  ///< Limit of this process.
   std::size_t max_descriptors = 4096;  ///< Files and sockets of this process.
   kernel::Duration longest_hold = kernel::seconds(10);  ///< Of a grant.
