--- a/test/correctness/connection_share_test.cc
+++ b/test/correctness/connection_share_test.cc
@@ -25,7 +25,8 @@
   std::uniform_int_distribution<std::size_t> any(0, instances - 1);
   std::vector<std::vector<double>> idle_until(instances);
   std::size_t most = 0;
-  for (double now = 0; now < kRunS; now += gap(random)) {
+  double now = 0;
+  while (now < kRunS) {
     std::size_t open = 0;
     for (auto& connections : idle_until) {
       std::erase_if(connections, [now](double until) { return until <= now; });
@@ -37,6 +38,7 @@
     if (!own.empty() && now > kRunS / 2) own.pop_back();
     own.push_back(now + kAllowedIdleS * share.idle_time_factor);
     if (own.size() > share.max_idle) own.erase(own.begin());
+    now += gap(random);
   }
   return static_cast<double>(most);
 }
--- a/test/correctness/fan_out_test.cc
+++ b/test/correctness/fan_out_test.cc
@@ -27,7 +27,7 @@
   for (const unsigned count : {1U, 2U, 8U, 80U, 300U, 17000U}) {
     CAPTURE(count);
     const auto names = MakeNames(count);
-    const std::string root = names[count / 3];
+    const std::string& root = names[count / 3];
     const FanOutTree tree(names, root);
     std::map<std::string, int> copies;
     std::vector<std::string> reached = {root};
--- a/test/scenario/owner_load_test.cc
+++ b/test/scenario/owner_load_test.cc
@@ -94,8 +94,10 @@
     const double per_second = this->load.utilization * kSlots *
                               this->size.servers / kMeanServiceTimeS;
     std::exponential_distribution<double> gap(per_second);
-    for (double at = this->now; at < kRunS; at += gap(this->random)) {
+    double at = this->now;
+    while (at < kRunS) {
       this->Schedule(at, [this] { this->Ask(); });
+      at += gap(this->random);
     }
     while (!this->events.empty()) {
       const auto event = this->events.begin();
@@ -133,11 +135,10 @@
 
   void Dispatch(policy::ServerLoads& loads, unsigned owner, double wait_until) {
     const std::string& id = this->ids[owner];
-    if (loads.IsEjected(id, this->Now())) {
-      this->Refuse(owner);
-    } else if (loads.HasCapacity(id, this->Now())) {
+    const bool ejected = loads.IsEjected(id, this->Now());
+    if (!ejected && loads.HasCapacity(id, this->Now())) {
       this->Send(loads, owner);
-    } else if (this->now >= wait_until) {
+    } else if (ejected || this->now >= wait_until) {
       this->Refuse(owner);
     } else {
       this->Schedule(this->now + kRecheckPeriodS,
