A faulty request is refused although its caller sends nothing more

Cause: since callers that left are looked for before a request is taken, one that had closed only its sending side got no answer to a request that is refused while it is read (processes_CallersInput, red in make check beside load on: 'a length and a transfer encoding', 'a folded header'). Change: only a request that would be served is dropped; one that is refused gets its answer first, as before. Evidence: data_path_test holds the instance up while such a caller sends and closes: no answer before, 400 after; processes_CallersInput passes alone.

--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -135,10 +135,7 @@
           kernel::Now() + this->owner.limits.request_timeout;
     }
     // An instance that is behind reads the request and the close together.
-    if (this->HasCallerLeft()) {
-      this->OnCallerLeft();
-      return 0;
-    }
+    this->caller_left = this->HasCallerLeft();
     this->reader.Append({chunk.data(), static_cast<std::size_t>(got)});
     this->ReadRequests();
     this->LimitInput();
@@ -242,6 +239,10 @@
       this->Refuse(this->reader.Refusal());
       return false;
     }
+    if (this->caller_left) {
+      this->OnCallerLeft();
+      return false;
+    }
     this->OnRequest(this->reader.Take());
     return true;
   }
@@ -347,7 +348,8 @@
                           ACE_Event_Handler::WRITE_MASK, false};
   EventWatch input_watch{this->owner.task.Reactor(), *this,
                          ACE_Event_Handler::READ_MASK, true};
-  bool ending = false;  ///< Reads no further request.
+  bool caller_left = false;  ///< Has closed, or sends nothing more.
+  bool ending = false;       ///< Reads no further request.
   bool close_when_flushed = false;
   bool lingering = false;
   bool reading = false;  ///< Guards against recursion.
--- a/test/correctness/data_path_test.cc
+++ b/test/correctness/data_path_test.cc
@@ -48,6 +48,7 @@
     if (this->descriptor >= 0) close(this->descriptor);
     this->descriptor = -1;
   }
+  void CloseSending() const { shutdown(this->descriptor, SHUT_WR); }
   void Send(std::string_view bytes) const {
     CHECK(send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
           static_cast<ssize_t>(bytes.size()));
@@ -580,6 +581,20 @@
   CHECK(front.Requests() == 1);
 }
 
+// Failure: a caller that closes its sending side behind a faulty request is not
+// told what is wrong with it.
+TEST_CASE("a faulty request is refused although nothing can follow it") {
+  Front front;
+  Caller caller(front.address);
+  std::promise<void> resume;
+  front.task.Post([&] { resume.get_future().wait(); });
+  caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n folded: x\r\n\r\n");
+  caller.CloseSending();
+  std::this_thread::sleep_for(milliseconds(50));
+  resume.set_value();
+  CHECK(caller.ReadUntil("never").starts_with("HTTP/1.1 400"));
+}
+
 // Failure: a caller that sends bytes without end fills the memory, or is not
 // answered.
 TEST_CASE("a caller that sends bytes without end") {
