--- a/test/scenario/ownership_spread_test.cc
+++ b/test/scenario/ownership_spread_test.cc
@@ -117,7 +117,7 @@
 };
 
 /// Seconds until the keys are even when all servers register one after the
-/// other within `join_time` of the start, counted from the last one.
+/// other within `kJoinTime` of the start, counted from the last one.
 double SpreadFromEmptyTable(const Size& size) {
   constexpr Duration kJoinTime = seconds(3);
   SpreadRun run(size, 2);
