A line for each caller's connection whose end may have cost an answer

Change: the server of callers tells why a connection ended, how long it was idle, what was pending, unread and unsent, and how late its loop was. The node counts all ends by reason and logs those that may have cost an answer: an idle close with unread bytes, a close with unsent bytes, a caller that acknowledges nothing any more.

--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -5,10 +5,12 @@
 #include <ace/SOCK_Acceptor.h>
 #include <ace/SOCK_Stream.h>
 #include <http_parser.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <deque>
 #include <map>
 #include <string>
@@ -67,6 +69,24 @@
   return bytes;
 }
 
+std::string_view NameOf(ConnectionEnd end) {
+  switch (end) {
+    case ConnectionEnd::kIdle:
+      return "idle";
+    case ConnectionEnd::kStop:
+      return "stop";
+    case ConnectionEnd::kRoom:
+      return "room";
+    case ConnectionEnd::kAnswered:
+      return "answered";
+    case ConnectionEnd::kCallerClosed:
+      return "caller-closed";
+    case ConnectionEnd::kUnreachable:
+      return "unreachable";
+  }
+  return "";
+}
+
 class HttpFront::Impl {
  public:
   class Connection;
@@ -99,6 +119,8 @@
   std::shared_ptr<std::vector<std::unique_ptr<Connection>>> closed =
       std::make_shared<std::vector<std::unique_ptr<Connection>>>();
   kernel::Timer sweep;
+  Instant next_sweep = kernel::Now() + kSweepPeriod;
+  kernel::Duration behind{};
 };
 
 class HttpFront::Impl::Connection : public ACE_Event_Handler {
@@ -108,7 +130,8 @@
         id(id),
         stream(handle),
         reader(owner.limits.read),
-        idle_until(kernel::Now() + owner.limits.idle_timeout) {
+        idle_since(kernel::Now()),
+        idle_until(this->idle_since + owner.limits.idle_timeout) {
     TuneConnection(handle);
     this->owner.task.Reactor().register_handler(this,
                                                 ACE_Event_Handler::READ_MASK);
@@ -125,7 +148,7 @@
         recv(this->stream.get_handle(), chunk.data(), chunk.size(), 0);
     if (got < 0 && (errno == EWOULDBLOCK || errno == EINTR)) return 0;
     if (got <= 0) {
-      this->OnCallerLeft();
+      this->OnCallerLeft(EndOf(got));
       return 0;
     }
     // Nothing behind the last request is read any more.
@@ -170,8 +193,10 @@
         this->Refuse({kernel::ErrorKind::kRequestTimeout,
                       "the request took too long to arrive"});
       }
-    } else if (now >= this->idle_until || this->owner.stopped) {
-      this->BeginLinger();
+    } else if (now >= this->idle_until) {
+      this->BeginLinger(ConnectionEnd::kIdle);
+    } else if (this->owner.stopped) {
+      this->BeginLinger(ConnectionEnd::kStop);
     }
   }
 
@@ -180,7 +205,7 @@
            !this->reader.InMessage();
   }
   Instant IdleUntil() const { return this->idle_until; }
-  void CloseIdle() { this->BeginLinger(); }
+  void CloseIdle() { this->BeginLinger(ConnectionEnd::kRoom); }
   std::size_t BufferedBytes() const { return this->reader.BufferedBytes(); }
 
   void SetLimits(const ReadLimits& limits) { this->reader.SetLimits(limits); }
@@ -240,7 +265,7 @@
       return false;
     }
     if (this->caller_left) {
-      this->OnCallerLeft();
+      this->OnCallerLeft(ConnectionEnd::kCallerClosed);
       return false;
     }
     this->OnRequest(this->reader.Take());
@@ -285,7 +310,8 @@
       this->ending = true;
       this->close_when_flushed = true;
     }
-    this->idle_until = kernel::Now() + this->owner.limits.idle_timeout;
+    this->idle_since = kernel::Now();
+    this->idle_until = this->idle_since + this->owner.limits.idle_timeout;
     this->Flush();
     this->ReadRequests();
     this->LimitInput();
@@ -302,23 +328,54 @@
         return;
       }
       if (sent <= 0) {
-        this->OnCallerLeft();
+        this->OnCallerLeft(EndOf(sent));
         return;
       }
       this->output.erase(0, static_cast<std::size_t>(sent));
     }
     this->output_watch.Set(false);
-    if (this->close_when_flushed && !this->lingering) this->BeginLinger();
+    if (this->close_when_flushed && !this->lingering)
+      this->BeginLinger(ConnectionEnd::kAnswered);
+  }
+
+  /// The end that the result of a failed recv() or send() tells.
+  static ConnectionEnd EndOf(ssize_t result) {
+    const bool unreachable =
+        result < 0 && (errno == ETIMEDOUT || errno == EHOSTUNREACH);
+    return unreachable ? ConnectionEnd::kUnreachable
+                       : ConnectionEnd::kCallerClosed;
+  }
+
+  std::size_t UnreadBytes() const {
+    int bytes = 0;
+    const bool known =
+        ioctl(this->stream.get_handle(), FIONREAD, &bytes) == 0 && bytes > 0;
+    return known ? static_cast<std::size_t>(bytes) : 0;
+  }
+
+  void TellEnd(ConnectionEnd end) const {
+    if (!this->owner.events.on_close) return;
+    ConnectionClose close;
+    close.end = end;
+    close.idle = kernel::Now() - this->idle_since;
+    close.pending = static_cast<std::size_t>(
+        std::ranges::count(this->slots, false, &Slot::answered));
+    close.unread = this->UnreadBytes();
+    close.unsent = this->output.size();
+    close.behind = this->owner.behind;
+    this->owner.events.on_close(close);
   }
 
-  void BeginLinger() {
+  void BeginLinger(ConnectionEnd end) {
+    this->TellEnd(end);
     this->ending = true;
     this->lingering = true;
     this->linger_until = kernel::Now() + kLingerTime;
     shutdown(this->stream.get_handle(), SHUT_WR);
   }
 
-  void OnCallerLeft() {
+  void OnCallerLeft(ConnectionEnd end) {
+    if (!this->lingering) this->TellEnd(end);
     std::deque<Slot> abandoned;
     abandoned.swap(this->slots);
     for (const auto& slot : abandoned) {
@@ -355,6 +412,7 @@
   bool reading = false;  ///< Guards against recursion.
   bool retired = false;
   Instant request_deadline;
+  Instant idle_since;
   Instant idle_until;
   Instant linger_until;
 };
@@ -443,6 +501,8 @@
 
 void HttpFront::Impl::Sweep() {
   const Instant now = kernel::Now();
+  this->behind = std::max(kernel::Duration(0), now - this->next_sweep);
+  this->next_sweep = now + kSweepPeriod;
   std::vector<Connection*> all;
   all.reserve(this->connections.size());
   for (const auto& [id, connection] : this->connections) {
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -15,6 +15,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 
 #include "kernel/error.h"
 #include "kernel/task.h"
@@ -42,6 +44,27 @@
   kernel::Duration idle_timeout = kernel::seconds(15);
 };
 
+/// Why a connection ended.
+enum class ConnectionEnd : std::uint8_t {
+  kIdle,          ///< Idle for longer than the limit.
+  kStop,          ///< Idle while the server stops.
+  kRoom,          ///< Idle while new connections need room.
+  kAnswered,      ///< Its last answer told the caller to close.
+  kCallerClosed,  ///< The caller closed or reset it.
+  kUnreachable,   ///< The caller's side no longer acknowledged anything.
+};
+std::string_view NameOf(ConnectionEnd end);
+
+/// The end of one connection, with what tells a lost request from an idle one.
+struct ConnectionClose {
+  ConnectionEnd end = ConnectionEnd::kIdle;
+  kernel::Duration idle{};    ///< Since the last answer or the start.
+  std::size_t pending = 0;    ///< Requests without an answer.
+  std::size_t unread = 0;     ///< Bytes that had arrived and were not read.
+  std::size_t unsent = 0;     ///< Bytes of answers that were not sent.
+  kernel::Duration behind{};  ///< How late the last check of time limits was.
+};
+
 /// What the server tells its owner. All on the task's thread.
 struct FrontEvents {
   /// A whole request arrived. Answer() may be called at once or later.
@@ -50,6 +73,8 @@
   std::function<void(const RequestRef&)> on_gone;
   /// The answer to bytes that are no acceptable request.
   std::function<HttpAnswer(const kernel::Error&)> refuse;
+  /// A connection has ended. May be empty.
+  std::function<void(const ConnectionClose&)> on_close = {};
 };
 
 class HttpFront {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -129,6 +129,9 @@
   events.on_gone = [this](const net::RequestRef& ref) {
     this->dispatcher->OnCallerDisconnected(ref);
   };
+  events.on_close = [this](const net::ConnectionClose& close) {
+    this->OnCallerConnectionClosed(close);
+  };
   events.refuse = [this, &wire](const kernel::Error& error) {
     this->metrics.CountError("chervilmux_refused_total", error.kind);
     observe::LogWarn("request_unreadable", {{"why", error.detail}});
@@ -148,6 +151,26 @@
   return kernel::Ok();
 }
 
+/// Logs the ends that may have cost a caller its answer, and counts all.
+void Node::OnCallerConnectionClosed(const net::ConnectionClose& close) {
+  const std::string_view why = net::NameOf(close.end);
+  this->metrics
+      .Count("chervilmux_caller_connections_closed_total",
+             observe::Label("why", why))
+      .Add();
+  const bool by_caller = close.end == net::ConnectionEnd::kCallerClosed;
+  const bool harmless = close.end != net::ConnectionEnd::kUnreachable &&
+                        close.unread == 0 && close.unsent == 0;
+  if (by_caller || harmless) return;
+  observe::LogWarn("caller_connection_closed",
+                   {{"why", std::string(why)},
+                    {"idle_ms", std::to_string(kernel::ToMs(close.idle))},
+                    {"pending", std::to_string(close.pending)},
+                    {"unread_bytes", std::to_string(close.unread)},
+                    {"unsent_bytes", std::to_string(close.unsent)},
+                    {"behind_ms", std::to_string(kernel::ToMs(close.behind))}});
+}
+
 std::vector<TableFollower*> Node::Followers() {
   return {&this->configuration_table, &this->server_table,
           &this->instances_table, &this->ranges_table};
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -84,6 +84,7 @@
   void PostToPeer(const std::string& address, std::string_view path,
                   std::string body,
                   std::function<void(const net::TransferResult&)> done);
+  void OnCallerConnectionClosed(const net::ConnectionClose& close);
   void OnReadiness(const net::RequestRef& ref, const net::HttpRequest& request);
   bool Ready() const;
   bool FollowsStore(kernel::Instant now) const;
