Failing tests: requests and answers that arrived while the instance was behind

Change: tests that hold the instance's task while a request, the end of a request, a server's connection or answer arrives, and one of a caller that acknowledges late. A listed case must fail.

--- /dev/null
+++ b/test/correctness/late_instance_test.cc
@@ -0,0 +1,186 @@
+// An instance that is behind: its time limits are over by the time at which it
+// reads what had arrived before.
+
+#include <doctest/doctest.h>
+
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "data_path_ends.h"
+#include "known_red.h"
+#include "loopback_listener.h"
+
+namespace chervilmux::net {
+namespace {
+
+/// Longer than the time between two checks of time limits.
+constexpr kernel::Duration kBetweenChecks = milliseconds(300);
+
+/// Keeps a task from running.
+class Pause {
+ public:
+  explicit Pause(kernel::ReactorTask& task) {
+    std::promise<void> begun;
+    task.Post([&begun, end = this->end.get_future().share()] {
+      begun.set_value();
+      end.wait();
+    });
+    begun.get_future().get();
+  }
+  ~Pause() { this->end.set_value(); }
+  Pause(const Pause&) = delete;
+  Pause& operator=(const Pause&) = delete;
+
+ private:
+  std::promise<void> end;
+};
+
+/// A caller whose connection is idle.
+std::unique_ptr<Caller> IdleCaller(Front& front) {
+  auto caller = std::make_unique<Caller>(front.address);
+  caller->Send(Get("/before"));
+  while (front.Requests() == 0) std::this_thread::yield();
+  front.Answer("/before", "before");
+  CHECK(caller->ReadUntil("before").ends_with("before"));
+  return caller;
+}
+
+/// Whether `caller` gets an answer of 200 to its request.
+bool IsServed(Front& front, const Caller& caller, const std::string& url) {
+  const auto has_arrived = [&] {
+    bool arrived = false;
+    front.Do([&] { arrived = front.refs.contains(url); });
+    return arrived;
+  };
+  constexpr int kTries = 200;
+  for (int i = 0; i < kTries && !has_arrived(); ++i)
+    std::this_thread::sleep_for(milliseconds(10));
+  if (!has_arrived()) return false;
+  front.Answer(url, "after");
+  return caller.ReadUntil("after").ends_with("after");
+}
+
+}  // namespace
+
+// Failure: a connection is closed although a whole request has arrived on it,
+// and its caller gets no answer.
+TEST_CASE(
+    "a request that arrived before its connection is closed as idle" *
+    doctest::should_fail(fakes::IsKnownRed(
+        "a request that arrived before its connection is closed as idle"))) {
+  Front front;
+  FrontLimits limits;
+  limits.idle_timeout = seconds(1);
+  limits.max_connections = 2;
+  front.Do([&] { front.front->SetLimits(limits); });
+  const auto caller = IdleCaller(front);
+  SUBCASE("is served when the idle time ends before it is read") {
+    {
+      const Pause pause(front.task);
+      // The check that is due by then runs before the request is read.
+      std::this_thread::sleep_for(kBetweenChecks);
+      caller->Send(Get("/after"));
+      std::this_thread::sleep_for(limits.idle_timeout);
+    }
+    CHECK(IsServed(front, *caller, "/after"));
+  }
+  SUBCASE("is served when the instance stops") {
+    front.task.Post([&] { front.front->StopAccepting(); });
+    {
+      const Pause pause(front.task);
+      std::this_thread::sleep_for(kBetweenChecks);
+      caller->Send(Get("/after"));
+    }
+    CHECK(IsServed(front, *caller, "/after"));
+  }
+  SUBCASE("is served when new connections need room") {
+    const Caller second(front.address);
+    while (front.Connections() < 2) std::this_thread::yield();
+    std::unique_ptr<Caller> third;
+    {
+      const Pause pause(front.task);
+      // The listening socket is looked at before the caller's.
+      third = std::make_unique<Caller>(front.address);
+      caller->Send(Get("/after"));
+    }
+    CHECK(IsServed(front, *caller, "/after"));
+  }
+}
+
+// Failure: a request is refused as too slow although all of it has arrived.
+TEST_CASE("a request whose end arrived in time is served" *
+          doctest::should_fail(fakes::IsKnownRed(
+              "a request whose end arrived in time is served"))) {
+  Front front;
+  FrontLimits limits;
+  limits.request_timeout = seconds(1);
+  front.Do([&] { front.front->SetLimits(limits); });
+  const Caller caller(front.address);
+  caller.Send("GET /after HTTP/1.1\r\n");
+  while (front.BufferedBytes() == 0) std::this_thread::yield();
+  {
+    const Pause pause(front.task);
+    std::this_thread::sleep_for(kBetweenChecks);
+    caller.Send("Host: h\r\n\r\n");
+    std::this_thread::sleep_for(limits.request_timeout);
+  }
+  CHECK(IsServed(front, caller, "/after"));
+}
+
+// Failure: a connection on a full link is reset because its caller acknowledges
+// an answer late.
+TEST_CASE("a caller that takes its answer slowly gets all of it" *
+          doctest::should_fail(fakes::IsKnownRed(
+              "a caller that takes its answer slowly gets all of it"))) {
+  Front front;
+  const Caller caller(front.address);
+  caller.Send(Get("/large"));
+  while (front.Requests() == 0) std::this_thread::yield();
+  const std::string body(32U << 20U, 'x');
+  front.Answer("/large", body + "end");
+  std::this_thread::sleep_for(seconds(3));
+  const std::string got = caller.ReadUntil("end");
+  CHECK(got.size() > body.size());
+}
+
+// Failure: a server counts as unreachable or silent although its part had
+// arrived in time.
+TEST_CASE("a server that was quick while the instance was behind" *
+          doctest::should_fail(fakes::IsKnownRed(
+              "a server that was quick while the instance was behind"))) {
+  fakes::LoopbackListener listener;
+  Links links;
+  SUBCASE("has accepted the connection") {
+    std::future<TransferResult> result;
+    {
+      const Pause pause(links.task);
+      result = links.Start(listener.address, "a", true);
+    }
+    {
+      const Pause pause(links.task);
+      std::this_thread::sleep_for(milliseconds(400));
+      links.PostCheckTime();
+    }
+    ServerEnd server(listener);
+    server.ReadRequest();
+    server.Answer("a", "one");
+    CHECK(result.get().end == TransferEnd::kComplete);
+  }
+  SUBCASE("has answered before the deadline") {
+    auto result = links.Start(listener.address, "a", true, milliseconds(500));
+    ServerEnd server(listener);
+    server.ReadRequest();
+    {
+      const Pause pause(links.task);
+      server.Answer("a", "one");
+      std::this_thread::sleep_for(milliseconds(700));
+      links.PostCheckTime();
+    }
+    CHECK(result.get().end == TransferEnd::kComplete);
+  }
+}
+
+}  // namespace chervilmux::net
