A caller that acknowledges late keeps its connection

Callers saw their answer cut off, and the connection reset, when they did not acknowledge sent bytes for 0.9 s.

Cause: callers' connections had the limit of connections to servers, which are given up soon because another server can be asked.

Change: 15 s for connections that were accepted.

Evidence: a caller that takes an answer of 33,554,435 bytes after 3 s got 128,000 before and all now (late_instance_test); out of KNOWN-RED.txt.

--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -132,7 +132,7 @@
         reader(owner.limits.read),
         idle_since(kernel::Now()),
         idle_until(this->idle_since + owner.limits.idle_timeout) {
-    TuneConnection(handle);
+    TuneConnection(handle, kCallerUnacknowledgedLimit);
     this->owner.task.Reactor().register_handler(this,
                                                 ACE_Event_Handler::READ_MASK);
   }
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <string>
 
@@ -19,24 +20,26 @@
   int value;
 };
 
-constexpr auto kOptions = std::to_array<Option>({
-    {IPPROTO_TCP, TCP_NODELAY, 1},
-    {SOL_SOCKET, SO_KEEPALIVE, 1},
-    {IPPROTO_TCP, TCP_KEEPIDLE, 2},   // seconds idle before the first probe
-    {IPPROTO_TCP, TCP_KEEPINTVL, 1},  // seconds between probes
-    {IPPROTO_TCP, TCP_KEEPCNT, 2},    // unanswered probes that end it
-    {IPPROTO_TCP, TCP_USER_TIMEOUT,
-     static_cast<int>(kUnacknowledgedLimit / kernel::milliseconds(1))},
-});
+constexpr int kProbes = 2;  // unanswered ones that end a connection
 
 }  // namespace
 
-void TuneConnection(int descriptor) {
+void TuneConnection(int descriptor, kernel::Duration unacknowledged) {
   const int flags = fcntl(descriptor, F_GETFL);
   bool failed =
       flags < 0 ||
       fcntl(descriptor, F_SETFL, static_cast<unsigned>(flags) | O_NONBLOCK) < 0;
-  for (const auto& option : kOptions) {
+  const auto limit_ms = static_cast<int>(kernel::ToMs(unacknowledged));
+  const int probe_s = std::max(1, limit_ms / 1000 / (kProbes + 1));
+  const auto options = std::to_array<Option>({
+      {IPPROTO_TCP, TCP_NODELAY, 1},
+      {SOL_SOCKET, SO_KEEPALIVE, 1},
+      {IPPROTO_TCP, TCP_KEEPIDLE, std::max(2, probe_s)},
+      {IPPROTO_TCP, TCP_KEEPINTVL, probe_s},
+      {IPPROTO_TCP, TCP_KEEPCNT, kProbes},
+      {IPPROTO_TCP, TCP_USER_TIMEOUT, limit_ms},
+  });
+  for (const auto& option : options) {
     failed = setsockopt(descriptor, option.level, option.name, &option.value,
                         sizeof(option.value)) != 0 ||
              failed;
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -15,16 +15,22 @@
 
 namespace chervilmux::net {
 
-/// Longest time that sent bytes may stay unacknowledged. Three times the
-/// kernel's first retransmission (200 ms) plus a round trip, so that one lost
-/// packet does not end a connection.
+/// Longest time that bytes sent to a server, a peer or the store may stay
+/// unacknowledged. Three times the kernel's first retransmission (200 ms) plus
+/// a round trip, so that one lost packet does not end a connection.
 inline constexpr kernel::Duration kUnacknowledgedLimit =
     kernel::milliseconds(900);
 
+/// The same for callers. No other way leads to a caller, and it acknowledges
+/// late while the instance's own link is full.
+inline constexpr kernel::Duration kCallerUnacknowledgedLimit =
+    kernel::seconds(15);
+
 /// Sets non-blocking mode, no delay, keep-alive probes and the limit on
 /// unacknowledged bytes. Failures are logged: a connection without them works,
 /// but hangs for longer.
-void TuneConnection(int descriptor);
+void TuneConnection(int descriptor,
+                    kernel::Duration unacknowledged = kUnacknowledgedLimit);
 
 /// Asks the reactor for one kind of event at a handler's socket, as long as the
 /// handler wants it: that the socket takes bytes, or has a new connection.
--- a/test/correctness/late_instance_test.cc
+++ b/test/correctness/late_instance_test.cc
@@ -127,9 +127,7 @@
 
 // Failure: a connection on a full link is reset because its caller acknowledges
 // an answer late.
-TEST_CASE("a caller that takes its answer slowly gets all of it" *
-          doctest::should_fail(fakes::IsKnownRed(
-              "a caller that takes its answer slowly gets all of it"))) {
+TEST_CASE("a caller that takes its answer slowly gets all of it") {
   Front front;
   const Caller caller(front.address);
   caller.Send(Get("/large"));
