A request that crosses the close of its idle connection is not read

Callers saw an orderly close after a request that had been read and dropped: they could not know that it had not run, and bookings are not sent again.

Cause: a connection that lingers after a close takes in and drops what arrives, so that unread bytes do not reset it and destroy the last answer. An idle close has no such answer.

Change: bytes that arrive after an idle close stay unread and reset the connection at once, unless the last answer is not acknowledged yet.

Evidence: late_instance_test, failed before: the connection was not reset.

--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -33,6 +33,8 @@
 /// How long a closed connection still takes in bytes of its caller. Closing
 /// with unread bytes would reset it and could destroy the last answer.
 constexpr kernel::Duration kLingerTime = kernel::seconds(2);
+/// The end of this side counts as one unacknowledged byte.
+constexpr int kOwnClose = 1;
 constexpr int kListenBacklog = 1024;
 /// One in so many connections is closed at a time to make room.
 constexpr std::size_t kClosedTogether = 50;
@@ -143,6 +145,12 @@
 
   int handle_input(ACE_HANDLE /*handle*/) override {
     if (this->retired) return 0;
+    if (this->lingering && this->CrossesIdleClose()) {
+      // Unread bytes reset the connection, so that the caller knows that what
+      // it has sent was not read.
+      this->owner.Bury(this->id);
+      return 0;
+    }
     std::array<char, kReadChunk> chunk;
     const ssize_t got =
         recv(this->stream.get_handle(), chunk.data(), chunk.size(), 0);
@@ -365,6 +373,16 @@
     return now >= this->idle_until || this->owner.stopped;
   }
 
+  /// Whether bytes have arrived since the connection was closed as idle. Not
+  /// while the last answer is on its way, which a reset could destroy.
+  bool CrossesIdleClose() const {
+    int unacknowledged = 0;
+    const bool delivered =
+        ioctl(this->stream.get_handle(), TIOCOUTQ, &unacknowledged) == 0 &&
+        unacknowledged <= kOwnClose;
+    return this->closed_idle && delivered && this->UnreadBytes() > 0;
+  }
+
   void TellEnd(ConnectionEnd end) const {
     if (!this->owner.events.on_close) return;
     ConnectionClose close;
@@ -380,6 +398,7 @@
 
   void BeginLinger(ConnectionEnd end) {
     this->TellEnd(end);
+    this->closed_idle = end != ConnectionEnd::kAnswered;
     this->ending = true;
     this->lingering = true;
     this->linger_until = kernel::Now() + kLingerTime;
@@ -421,7 +440,8 @@
   bool ending = false;       ///< Reads no further request.
   bool close_when_flushed = false;
   bool lingering = false;
-  bool reading = false;  ///< Guards against recursion.
+  bool closed_idle = false;  ///< Lingers after a close without an answer.
+  bool reading = false;      ///< Guards against recursion.
   bool retired = false;
   Instant request_deadline;
   Instant idle_since;
--- a/test/correctness/late_instance_test.cc
+++ b/test/correctness/late_instance_test.cc
@@ -107,6 +107,22 @@
   }
 }
 
+// Failure: a request that crosses the close of its idle connection is read and
+// dropped, so that its caller cannot know that it has not run.
+TEST_CASE("a request that arrives after its idle connection was closed") {
+  Front front;
+  FrontLimits limits;
+  limits.idle_timeout = milliseconds(100);
+  front.Do([&] { front.front->SetLimits(limits); });
+  const auto caller = IdleCaller(front);
+  CHECK(caller->ReadUntil("never").empty());
+  caller->Send(Get("/crossing"));
+  SUBCASE("is not read: the connection is reset") {
+    CHECK(caller->IsResetSoon());
+    CHECK(front.Requests() == 1);
+  }
+}
+
 // Failure: a request is refused as too slow although all of it has arrived.
 TEST_CASE("a request whose end arrived in time is served") {
   Front front;
--- a/test/fakes/data_path_ends.h
+++ b/test/fakes/data_path_ends.h
@@ -70,6 +70,15 @@
     }
     return true;
   }
+  /// Whether the other end resets the connection within a second.
+  bool IsResetSoon() const {
+    constexpr int kTries = 100;
+    for (int i = 0; i < kTries; ++i) {
+      if (send(this->descriptor, "\r\n", 2, MSG_NOSIGNAL) < 0) return true;
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return false;
+  }
   /// Reads until `text` has been seen or the connection ends.
   std::string ReadUntil(std::string_view text) const {
     std::string got;
