A configuration reaches small instances at once: compressed answers of peers

Cause: a configuration of 2,800 routes is a row of some 560 kB, 0.45 s of the whole link of an instance with 10 Mbit/s, but an instance waits 0.4 s for a peer's answer and asks a leader and a reader at once. Answers above 1 MB would never have been taken.

Change: instances accept compressed answers from peers (an older build does not ask for them and gets plain ones), wait 0.8 s for a sync, and take up to 8 MB. zlib is a declared package.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
   libace-dev libjsonrpccpp-dev libjsoncpp-dev libboost-dev \
   libboost-program-options-dev liblog4cplus-dev doctest-dev librapidcheck-dev \
   libcurl4-openssl-dev libmicrohttpd-dev libxxhash-dev \
-  libhttp-parser-dev libtomlplusplus-dev
+  libhttp-parser-dev libtomlplusplus-dev zlib1g-dev
 BUILD := build
 SUDO := $(shell [ "$$(id -u)" = 0 ] || echo sudo)
 SOURCES = $(shell git ls-files -co --exclude-standard '*.h' '*.cc')
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -223,6 +223,8 @@
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
                      transfer.options.fresh_connection ? 1L : 0L);
+    if (transfer.options.accepts_compressed)
+      curl_easy_setopt(easy, CURLOPT_ACCEPT_ENCODING, "gzip");
     this->ConfigureBody(transfer);
     this->ConfigureHeaders(transfer);
   }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -45,8 +45,9 @@
 struct TransferOptions {
   kernel::Instant deadline;
   std::size_t max_answer_bytes = 1U << 20U;
-  bool fresh_connection = false;  ///< Use no idle connection.
-  bool may_repeat = false;        ///< Whether the request is idempotent.
+  bool fresh_connection = false;    ///< Use no idle connection.
+  bool may_repeat = false;          ///< Whether the request is idempotent.
+  bool accepts_compressed = false;  ///< The answer's body arrives plain.
 };
 
 using TransferDone = std::function<void(TransferResult)>;
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "net/compression.h"
 #include "node/fan_out.h"
 #include "node/node.h"
 #include "observe/log.h"
@@ -18,9 +19,14 @@
 /// the 2 s in which a configuration must be in force.
 constexpr Duration kSyncPeriod = milliseconds(500);
 constexpr Duration kPeerTimeout = milliseconds(400);
+/// An answer with a large configuration takes longer: the peer makes it for
+/// many instances at once.
+constexpr Duration kSyncTimeout = milliseconds(800);
 /// An instance that did not take a change of owners gets none for this long;
 /// those that would have heard it from that instance get it directly.
 constexpr Duration kUnreachableTime = milliseconds(3000);
+/// As much as one answer of the store may hold.
+constexpr std::size_t kMaxSyncBytes = 8U << 20U;
 constexpr std::string_view kSyncPath = "/peer/sync";
 constexpr std::string_view kOwnersPath = "/peer/owners";
 
@@ -105,8 +111,11 @@
   request.headers.push_back({"Content-Type", "application/json"});
   request.body = std::move(body);
   net::TransferOptions options;
-  options.deadline = kernel::Now() + kPeerTimeout;
+  options.deadline =
+      kernel::Now() + (path == kSyncPath ? kSyncTimeout : kPeerTimeout);
   options.may_repeat = true;
+  options.accepts_compressed = true;
+  options.max_answer_bytes = kMaxSyncBytes;
   this->client.Start(request, options, std::move(done));
 }
 
@@ -181,10 +190,12 @@
                          const net::HttpRequest& request) {
   if (request.url == kSyncPath) {
     auto decoded = DecodeSync(request.body);
-    this->peers->Answer(
-        ref, decoded ? net::PlainAnswer(
-                           200, EncodeSyncReply(this->ReplyTo(decoded.value())))
-                     : net::PlainAnswer(400, decoded.error().detail));
+    net::HttpAnswer answer =
+        decoded ? net::PlainAnswer(
+                      200, EncodeSyncReply(this->ReplyTo(decoded.value())))
+                : net::PlainAnswer(400, decoded.error().detail);
+    net::CompressFor(request, answer);
+    this->peers->Answer(ref, std::move(answer));
   } else if (request.url == kOwnersPath) {
     this->OnChangedOwners(request.body);
     this->peers->Answer(ref, net::PlainAnswer(200));
