--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -5,10 +5,12 @@
 #include <ace/SOCK_Acceptor.h>
 #include <ace/SOCK_Stream.h>
 #include <http_parser.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <deque>
 #include <map>
 #include <string>
@@ -31,6 +33,8 @@
 /// How long a closed connection still takes in bytes of its caller. Closing
 /// with unread bytes would reset it and could destroy the last answer.
 constexpr kernel::Duration kLingerTime = kernel::seconds(2);
+/// The end of this side counts as one unacknowledged byte.
+constexpr int kOwnClose = 1;
 constexpr int kListenBacklog = 1024;
 /// One in so many connections is closed at a time to make room.
 constexpr std::size_t kClosedTogether = 50;
@@ -67,6 +71,24 @@
   return bytes;
 }
 
+std::string_view NameOf(ConnectionEnd end) {
+  switch (end) {
+    case ConnectionEnd::kIdle:
+      return "idle";
+    case ConnectionEnd::kStop:
+      return "stop";
+    case ConnectionEnd::kRoom:
+      return "room";
+    case ConnectionEnd::kAnswered:
+      return "answered";
+    case ConnectionEnd::kCallerClosed:
+      return "caller-closed";
+    case ConnectionEnd::kUnreachable:
+      return "unreachable";
+  }
+  return "";
+}
+
 class HttpFront::Impl {
  public:
   class Connection;
@@ -99,6 +121,8 @@
   std::shared_ptr<std::vector<std::unique_ptr<Connection>>> closed =
       std::make_shared<std::vector<std::unique_ptr<Connection>>>();
   kernel::Timer sweep;
+  Instant next_sweep = kernel::Now() + kSweepPeriod;
+  kernel::Duration behind{};
 };
 
 class HttpFront::Impl::Connection : public ACE_Event_Handler {
@@ -108,8 +132,9 @@
         id(id),
         stream(handle),
         reader(owner.limits.read),
-        idle_until(kernel::Now() + owner.limits.idle_timeout) {
-    TuneConnection(handle);
+        idle_since(kernel::Now()),
+        idle_until(this->idle_since + owner.limits.idle_timeout) {
+    TuneConnection(handle, kCallerUnacknowledgedLimit);
     this->owner.task.Reactor().register_handler(this,
                                                 ACE_Event_Handler::READ_MASK);
   }
@@ -120,12 +145,18 @@
 
   int handle_input(ACE_HANDLE /*handle*/) override {
     if (this->retired) return 0;
+    if (this->lingering && this->CrossesIdleClose()) {
+      // Unread bytes reset the connection, so that the caller knows that what
+      // it has sent was not read.
+      this->owner.Bury(this->id);
+      return 0;
+    }
     std::array<char, kReadChunk> chunk;
     const ssize_t got =
         recv(this->stream.get_handle(), chunk.data(), chunk.size(), 0);
     if (got < 0 && (errno == EWOULDBLOCK || errno == EINTR)) return 0;
     if (got <= 0) {
-      this->OnCallerLeft();
+      this->OnCallerLeft(EndOf(got));
       return 0;
     }
     // Nothing behind the last request is read any more.
@@ -158,20 +189,28 @@
     }
   }
 
-  /// Closes what is idle or over its time. Returns false when it closed.
+  /// Closes what is idle or over its time.
   void CheckTime(Instant now) {
     if (this->lingering) {
       if (now >= this->linger_until) this->owner.Bury(this->id);
       return;
     }
     if (!this->slots.empty() || !this->output.empty()) return;
+    if (!this->IsOverTime(now)) return;
+    // What has arrived counts, not what an instance that is behind has read.
+    if (this->UnreadBytes() > 0) {
+      this->handle_input(this->get_handle());
+      return;
+    }
     if (this->reader.InMessage()) {
       if (now >= this->request_deadline) {
         this->Refuse({kernel::ErrorKind::kRequestTimeout,
                       "the request took too long to arrive"});
       }
-    } else if (now >= this->idle_until || this->owner.stopped) {
-      this->BeginLinger();
+    } else if (now >= this->idle_until) {
+      this->BeginLinger(ConnectionEnd::kIdle);
+    } else if (this->owner.stopped) {
+      this->BeginLinger(ConnectionEnd::kStop);
     }
   }
 
@@ -180,7 +219,14 @@
            !this->reader.InMessage();
   }
   Instant IdleUntil() const { return this->idle_until; }
-  void CloseIdle() { this->BeginLinger(); }
+  /// Bytes that have arrived and were not read yet.
+  std::size_t UnreadBytes() const {
+    int bytes = 0;
+    const bool known =
+        ioctl(this->stream.get_handle(), FIONREAD, &bytes) == 0 && bytes > 0;
+    return known ? static_cast<std::size_t>(bytes) : 0;
+  }
+  void CloseIdle() { this->BeginLinger(ConnectionEnd::kRoom); }
   std::size_t BufferedBytes() const { return this->reader.BufferedBytes(); }
 
   void SetLimits(const ReadLimits& limits) { this->reader.SetLimits(limits); }
@@ -240,7 +286,7 @@
       return false;
     }
     if (this->caller_left) {
-      this->OnCallerLeft();
+      this->OnCallerLeft(ConnectionEnd::kCallerClosed);
       return false;
     }
     this->OnRequest(this->reader.Take());
@@ -285,7 +331,8 @@
       this->ending = true;
       this->close_when_flushed = true;
     }
-    this->idle_until = kernel::Now() + this->owner.limits.idle_timeout;
+    this->idle_since = kernel::Now();
+    this->idle_until = this->idle_since + this->owner.limits.idle_timeout;
     this->Flush();
     this->ReadRequests();
     this->LimitInput();
@@ -302,23 +349,64 @@
         return;
       }
       if (sent <= 0) {
-        this->OnCallerLeft();
+        this->OnCallerLeft(EndOf(sent));
         return;
       }
       this->output.erase(0, static_cast<std::size_t>(sent));
     }
     this->output_watch.Set(false);
-    if (this->close_when_flushed && !this->lingering) this->BeginLinger();
+    if (this->close_when_flushed && !this->lingering)
+      this->BeginLinger(ConnectionEnd::kAnswered);
   }
 
-  void BeginLinger() {
+  /// The end that the result of a failed recv() or send() tells.
+  static ConnectionEnd EndOf(ssize_t result) {
+    const bool unreachable =
+        result < 0 && (errno == ETIMEDOUT || errno == EHOSTUNREACH);
+    return unreachable ? ConnectionEnd::kUnreachable
+                       : ConnectionEnd::kCallerClosed;
+  }
+
+  /// Whether a time limit of a connection without pending requests is over.
+  bool IsOverTime(Instant now) const {
+    if (this->reader.InMessage()) return now >= this->request_deadline;
+    return now >= this->idle_until || this->owner.stopped;
+  }
+
+  /// Whether bytes have arrived since the connection was closed as idle. Not
+  /// while the last answer is on its way, which a reset could destroy.
+  bool CrossesIdleClose() const {
+    int unacknowledged = 0;
+    const bool delivered =
+        ioctl(this->stream.get_handle(), TIOCOUTQ, &unacknowledged) == 0 &&
+        unacknowledged <= kOwnClose;
+    return this->closed_idle && delivered && this->UnreadBytes() > 0;
+  }
+
+  void TellEnd(ConnectionEnd end) const {
+    if (!this->owner.events.on_close) return;
+    ConnectionClose close;
+    close.end = end;
+    close.idle = kernel::Now() - this->idle_since;
+    close.pending = static_cast<std::size_t>(
+        std::ranges::count(this->slots, false, &Slot::answered));
+    close.unread = this->UnreadBytes();
+    close.unsent = this->output.size();
+    close.behind = this->owner.behind;
+    this->owner.events.on_close(close);
+  }
+
+  void BeginLinger(ConnectionEnd end) {
+    this->TellEnd(end);
+    this->closed_idle = end != ConnectionEnd::kAnswered;
     this->ending = true;
     this->lingering = true;
     this->linger_until = kernel::Now() + kLingerTime;
     shutdown(this->stream.get_handle(), SHUT_WR);
   }
 
-  void OnCallerLeft() {
+  void OnCallerLeft(ConnectionEnd end) {
+    if (!this->lingering) this->TellEnd(end);
     std::deque<Slot> abandoned;
     abandoned.swap(this->slots);
     for (const auto& slot : abandoned) {
@@ -352,9 +440,11 @@
   bool ending = false;       ///< Reads no further request.
   bool close_when_flushed = false;
   bool lingering = false;
-  bool reading = false;  ///< Guards against recursion.
+  bool closed_idle = false;  ///< Lingers after a close without an answer.
+  bool reading = false;      ///< Guards against recursion.
   bool retired = false;
   Instant request_deadline;
+  Instant idle_since;
   Instant idle_until;
   Instant linger_until;
 };
@@ -423,9 +513,13 @@
     if (connection->IsIdle()) idle.push_back(connection.get());
   }
   std::ranges::sort(idle, {}, &Connection::IdleUntil);
-  const std::size_t few = this->limits.max_connections / kClosedTogether + 1;
-  if (idle.size() > few) idle.resize(few);
-  for (Connection* connection : idle) connection->CloseIdle();
+  std::size_t left = this->limits.max_connections / kClosedTogether + 1;
+  for (Connection* connection : idle) {
+    if (left == 0) break;
+    if (connection->UnreadBytes() > 0) continue;
+    connection->CloseIdle();
+    left -= 1;
+  }
 }
 
 void HttpFront::Impl::Bury(std::uint64_t id) {
@@ -443,6 +537,8 @@
 
 void HttpFront::Impl::Sweep() {
   const Instant now = kernel::Now();
+  this->behind = std::max(kernel::Duration(0), now - this->next_sweep);
+  this->next_sweep = now + kSweepPeriod;
   std::vector<Connection*> all;
   all.reserve(this->connections.size());
   for (const auto& [id, connection] : this->connections) {
