A cell row with an override that is no 64-bit number ends no process

What would be seen: an instance that reads such a row, from the store or in a peer's datagram, ends by an uncaught exception, and again after each start.

Cause: DecodeRow let any text of 20 digits through to std::stoull, which throws above 2^64-1, asked any JSON value for its member names and any override for its text; jsoncpp throws for both.

std::from_chars reports numbers out of range as an error, and the types are checked before they are used, so the row is refused as malformed.

--- a/src/ownership/row.cc
+++ b/src/ownership/row.cc
@@ -1,6 +1,8 @@
 #include "ownership/row.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
 #include <utility>
 
 #include "kernel/json.h"
@@ -125,14 +127,20 @@
   }
   std::ranges::sort(row.servers, {}, &ServerEntry::name);
   const auto& overrides = value["overrides"];
-  for (const auto& hash : overrides.getMemberNames()) {
-    // A 64-bit number has at most 20 decimal digits.
-    if (hash.empty() || hash.size() > 20 ||
-        hash.find_first_not_of("0123456789") != std::string::npos) {
+  if (!overrides.isNull() && !overrides.isObject()) {
+    return Fail(ErrorKind::kMessageMalformed,
+                "the overrides in a cell row are not a JSON object");
+  }
+  for (const auto& text_of_hash : overrides.getMemberNames()) {
+    std::uint64_t hash = 0;
+    const char* end = text_of_hash.data() + text_of_hash.size();
+    const auto parsed = std::from_chars(text_of_hash.data(), end, hash);
+    const Json::Value& server = overrides[text_of_hash];
+    if (parsed.ec != std::errc() || parsed.ptr != end || !server.isString()) {
       return Fail(ErrorKind::kMessageMalformed,
-                  "override in cell row: the key hash is not a decimal number");
+                  "override in cell row: not a key hash and a server's name");
     }
-    row.overrides[std::stoull(hash)] = overrides[hash].asString();
+    row.overrides[hash] = server.asString();
   }
   return row;
 }
--- a/test/error/bad_input_test.cc
+++ b/test/error/bad_input_test.cc
@@ -118,6 +118,20 @@
   CHECK(back.reply.epoch == ownership::RowVersion{3, 4});
 }
 
+TEST_CASE("a cell row whose override is no 64-bit number is refused") {
+  const auto with = [](const std::string& overrides) {
+    return ownership::DecodeRow("{\"servers\":[],\"overrides\":" + overrides +
+                                "}")
+        .has_value();
+  };
+  CHECK(with("{\"18446744073709551615\":\"s\"}"));
+  CHECK_FALSE(with("{\"18446744073709551616\":\"s\"}"));
+  CHECK_FALSE(with("{\"99999999999999999999\":\"s\"}"));
+  CHECK_FALSE(with("{\"7\":[]}"));
+  CHECK_FALSE(with("[1]"));
+  CHECK_FALSE(with("\"s\""));
+}
+
 TEST_CASE("every log line is valid JSON whatever it holds") {
   CHECK(rc::check("any bytes", [](const std::string& bytes) {
     const std::string line = observe::FormatLogLine(
