Odd entries among those of the servers name no server

What would be seen: an entry of another writer with a warm-up of 1e300 s, a capacity, `seq` or `born` beyond what is real, an unspecified address, an address with a zero byte or an id with a line end was taken for a server. The id goes into a header of each request to that server, so a line end in it adds headers or a whole request (UNASKED); 0.0.0.0 is this machine. Numbers too large were converted with undefined behaviour, also those of the configuration, the settings and a caller's deadline.

Cause: DecodeServer checked types, not ranges; FromSeconds and the casts from double took any number.

SaturateTo() and ToDuration() cut numbers to what their type holds, so that no decoder has to think of it. Peers' numbers out of range are unknown. An unusable row is logged once while it is listed, as a warning; it was a debug line on every change of the list.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -26,8 +26,7 @@
 
 /// Maximum time for which a request of `route` waits for a free server.
 Duration MaxWait(const model::Route& route) {
-  return std::chrono::duration_cast<Duration>(route.latency_objective *
-                                              kMaxWaitShare);
+  return kernel::ToDuration(route.latency_objective * kMaxWaitShare);
 }
 
 std::string_view PathOf(std::string_view target) {
@@ -202,8 +201,8 @@
   // starved.
   constexpr double kPriorityDelay = 0.5;
   const double delay_factor = 1 + kPriorityDelay * job.route->priority;
-  job.soft_deadline = now + std::chrono::duration_cast<Duration>(
-                                job.route->latency_objective * delay_factor);
+  job.soft_deadline =
+      now + kernel::ToDuration(job.route->latency_objective * delay_factor);
   const auto service = job.config->services.find(job.service);
   job.keyed = service != job.config->services.end() && service->second.keyed;
   if (job.keyed && !job.metadata.key) {
--- a/src/kernel/time.h
+++ b/src/kernel/time.h
@@ -10,9 +10,12 @@
 
 #include <time.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
+#include "kernel/saturate.h"
+
 namespace chervilmux::kernel {
 
 using Duration = std::chrono::microseconds;
@@ -32,7 +35,7 @@
 }
 
 /// Whole milliseconds in `duration`, rounded down.
-inline std::int64_t ToMs(Duration duration) {
+constexpr std::int64_t ToMs(Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
 
@@ -41,10 +44,21 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-/// The inverse of ToSeconds(), rounded towards zero.
+/// A century. Longer durations from outside are cut to it, so that their sum
+/// with any time of the clock is one.
+inline constexpr Duration kLongestDuration = std::chrono::hours(24) * 365 * 100;
+
+/// `duration` rounded towards zero and cut to kLongestDuration, either way.
+template <typename Period>
+Duration ToDuration(std::chrono::duration<double, Period> duration) {
+  const std::chrono::duration<double, Duration::period> exact = duration;
+  return std::clamp(Duration(SaturateTo<Duration::rep>(exact.count())),
+                    -kLongestDuration, kLongestDuration);
+}
+
+/// The inverse of ToSeconds(), rounded and cut like ToDuration().
 inline Duration FromSeconds(double seconds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds));
+  return ToDuration(std::chrono::duration<double>(seconds));
 }
 
 /// Microseconds since the clock's own epoch, for messages.
--- a/src/net/address.cc
+++ b/src/net/address.cc
@@ -4,14 +4,21 @@
 
 #include <array>
 #include <charconv>
+#include <optional>
 
 namespace chervilmux::net {
 namespace {
 
-bool IsIpNumber(const std::string& ip) {
-  std::array<unsigned char, sizeof(in6_addr)> parsed{};
-  return inet_pton(AF_INET, ip.c_str(), parsed.data()) == 1 ||
-         inet_pton(AF_INET6, ip.c_str(), parsed.data()) == 1;
+using IpBytes = std::array<unsigned char, sizeof(in6_addr)>;
+
+/// The bytes of an IP number, zeros behind those of IPv4.
+std::optional<IpBytes> ParseIp(const std::string& ip) {
+  // The C function would read only what stands before the zero.
+  if (ip.find('\0') != std::string::npos) return std::nullopt;
+  IpBytes parsed{};
+  if (inet_pton(AF_INET, ip.c_str(), parsed.data()) == 1) return parsed;
+  if (inet_pton(AF_INET6, ip.c_str(), parsed.data()) == 1) return parsed;
+  return std::nullopt;
 }
 
 }  // namespace
@@ -26,6 +33,10 @@
   return ACE_INET_Addr(this->port, this->ip.c_str());
 }
 
+bool Address::IsUnspecified() const {
+  return ParseIp(this->ip).value_or(IpBytes{}) == IpBytes{};
+}
+
 kernel::Result<Address> ParseAddress(std::string_view text) {
   using kernel::ErrorKind;
   const auto colon = text.rfind(':');
@@ -40,7 +51,7 @@
   }
   Address address;
   address.ip = std::string(host);
-  if (!IsIpNumber(address.ip)) {
+  if (!ParseIp(address.ip)) {
     return kernel::Fail(ErrorKind::kSettingInvalid,
                         "'" + address.ip + "' is not an IP number");
   }
--- a/src/net/address.h
+++ b/src/net/address.h
@@ -23,6 +23,9 @@
   auto operator<=>(const Address&) const = default;
   bool Empty() const { return this->ip.empty(); }
 
+  /// Whether it names no machine: fit to listen at, not to connect to.
+  bool IsUnspecified() const;
+
   /// "ip:port", with brackets around an IPv6 number.
   std::string ToString() const;
   ACE_INET_Addr ToAce() const;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -293,16 +293,20 @@
 
 void Node::OnServerRows() {
   ServersById listed;
+  std::set<std::string, std::less<>> unusable;
   for (const auto& [id, row] : this->server_table.Copy().Rows()) {
     auto decoded = this->formats.DecodeServer(id, row.value);
     if (decoded) {
       listed[id] = std::move(decoded.value());
-    } else {
-      this->metrics.Count("chervilmux_server_rows_unusable_total").Add();
-      observe::LogDebug("server_row_unusable",
-                        {{"id", id}, {"why", decoded.error().detail}});
+      continue;
     }
+    this->metrics.Count("chervilmux_server_rows_unusable_total").Add();
+    unusable.insert(id);
+    if (this->unusable_rows.contains(id)) continue;
+    observe::LogWarn("server_row_unusable",
+                     {{"id", id}, {"why", decoded.error().detail}});
   }
+  this->unusable_rows = std::move(unusable);
   this->servers.Update(listed, this->servers_true_until, kernel::Now());
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -124,6 +124,8 @@
   std::shared_ptr<const model::Configuration> configuration;
   std::uint64_t bad_configuration_row = 0;
   ServerList servers;
+  /// Ids of the listed rows that name no server; each is logged once.
+  std::set<std::string, std::less<>> unusable_rows;
   std::map<std::string, std::unique_ptr<KeyService>, std::less<>> key_services;
   std::set<std::string, std::less<>> syncing;  ///< Addresses being asked.
   /// Instances that did not take a change of owners, and until when they get
--- a/src/node/peer_message.cc
+++ b/src/node/peer_message.cc
@@ -1,5 +1,7 @@
 #include "node/peer_message.h"
 
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 #include "kernel/json.h"
@@ -62,6 +64,14 @@
                : std::pair<std::uint64_t, std::uint64_t>(0, 0);
 }
 
+/// Milliseconds, or -1 for "unknown".
+std::int64_t MsFrom(const Json::Value& json) {
+  constexpr std::int64_t kLongest = kernel::ToMs(kernel::kLongestDuration);
+  const bool valid =
+      json.isInt64() && json.asInt64() >= 0 && json.asInt64() <= kLongest;
+  return valid ? json.asInt64() : -1;
+}
+
 Json::Value PairToJson(std::uint64_t first, std::uint64_t second) {
   Json::Value json(Json::arrayValue);
   json.append(Json::UInt64(first));
@@ -132,6 +142,10 @@
     for (const auto& service : load.getMemberNames()) {
       for (const auto& item : load[service]) {
         const auto [bucket, requests] = PairFrom(item);
+        if (bucket >= ranges::kBucketCount ||
+            requests > std::numeric_limits<std::uint32_t>::max()) {
+          continue;
+        }
         request.key_load[service].push_back(
             {static_cast<std::uint16_t>(bucket),
              static_cast<std::uint32_t>(requests)});
@@ -183,10 +197,8 @@
   for (const auto& service : json["leads"]) {
     if (service.isString()) reply.leads.push_back(service.asString());
   }
-  const Json::Value& trouble = json["store_trouble_ms_ago"];
-  if (trouble.isInt64()) reply.store_trouble_ms_ago = trouble.asInt64();
-  const Json::Value& age = json["knowledge_age_ms"];
-  if (age.isInt64()) reply.knowledge_age_ms = age.asInt64();
+  reply.store_trouble_ms_ago = MsFrom(json["store_trouble_ms_ago"]);
+  reply.knowledge_age_ms = MsFrom(json["knowledge_age_ms"]);
   return reply;
 }
 
