libcurl's answers are complete only with a whole head and the stated length

The calls to the store and to peers go the same way; their bodies are JSON, so that a cut answer was malformed there. The data path of chervilmux-node (ServerLinks, http_parser) was right: its cases passed before.

Cause: libcurl reports success when the connection ends behind the status line or any later line of the head, and reads to the end of the connection when it cannot read Content-Length. HttpClient took each success for a whole answer. Fields of a trailer also came through as headers.

The test cuts nine answers at each byte.

HttpClient notes the empty line that ends the head of the final answer, and compares the body with each Content-Length; without them the answer is truncated. libcurl takes a chunked answer without the line feed behind its last chunk; its body is whole, and the test says so.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -35,6 +35,9 @@
   TransferDone done;
   HttpAnswer answer;
   int writes_begun = 0;
+  bool head_begun = false;
+  bool is_interim = false;  ///< The head that is being read has a status 1xx.
+  bool head_whole = false;  ///< The head of the final answer was read.
   bool too_large = false;
 };
 
@@ -55,14 +58,19 @@
   auto& transfer = *static_cast<Transfer*>(user);
   const std::size_t bytes = size * count;
   std::string_view line(data, bytes);
+  // Fields behind the body (trailers) are not passed on.
+  if (transfer.head_whole) return bytes;
+  transfer.head_begun = true;
   if (line.starts_with("HTTP/")) {
     // A final answer may follow an interim one; only the last counts.
     transfer.answer.headers.clear();
+    transfer.is_interim = line.find(" 1") == line.find(' ');
     return bytes;
   }
   while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
     line.remove_suffix(1);
   }
+  if (line.empty()) transfer.head_whole = !transfer.is_interim;
   const auto colon = line.find(':');
   if (colon == std::string_view::npos) return bytes;
   std::string_view value = line.substr(colon + 1);
@@ -106,12 +114,35 @@
   return CURL_SOCKOPT_OK;
 }
 
-TransferEnd EndOf(CURLcode code, const Transfer& transfer) {
-  if (code == CURLE_OK) return TransferEnd::kComplete;
+/// Whether the body has the length that the head states, if it states one.
+bool HasStatedLength(const Transfer& transfer, long status) {
+  const Headers& headers = transfer.answer.headers;
+  const bool never_has_body =
+      transfer.request.method == "HEAD" || status == 204 || status == 304;
+  const bool is_framed = !FindHeader(headers, "transfer-encoding").empty();
+  if (never_has_body || is_framed) return true;
+  return std::ranges::all_of(headers, [&transfer](const Header& header) {
+    if (!SameHeaderName(header.name, "content-length")) return true;
+    const std::string_view text = TrimBlanks(header.value);
+    std::size_t length = 0;
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, length);
+    return parsed.ec == std::errc() && parsed.ptr == end &&
+           length == transfer.answer.body.size();
+  });
+}
+
+/// libcurl reports success when the connection closes within the head, and
+/// ignores a length that it cannot read.
+TransferEnd EndOf(CURLcode code, const Transfer& transfer, long status) {
+  if (code == CURLE_OK && transfer.head_whole &&
+      HasStatedLength(transfer, status)) {
+    return TransferEnd::kComplete;
+  }
   if (transfer.too_large) return TransferEnd::kTooLarge;
   if (transfer.writes_begun == 0) return TransferEnd::kNotSent;
   if (code == CURLE_OPERATION_TIMEDOUT) return TransferEnd::kTimedOut;
-  if (code == CURLE_PARTIAL_FILE || !transfer.answer.headers.empty()) {
+  if (code == CURLE_PARTIAL_FILE || transfer.head_begun) {
     return TransferEnd::kTruncated;
   }
   return TransferEnd::kBroken;
@@ -324,8 +355,10 @@
       if (message->msg != CURLMSG_DONE) continue;
       Transfer* transfer = nullptr;
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+      long status = 0;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE, &status);
       this->Finish(message->easy_handle,
-                   EndOf(message->data.result, *transfer));
+                   EndOf(message->data.result, *transfer, status));
     }
     this->depth -= 1;
   }
--- a/test/fakes/loopback_listener.h
+++ b/test/fakes/loopback_listener.h
@@ -33,6 +33,8 @@
   LoopbackListener(const LoopbackListener&) = delete;
   LoopbackListener& operator=(const LoopbackListener&) = delete;
 
+  int Descriptor() const { return this->descriptor; }
+
   int Accept() const { return accept(this->descriptor, nullptr, nullptr); }
 
   /// Wakes a thread that is in Accept().
