A refusal that is written once more tells nothing of a later request

What would be seen: a server that writes an earlier refusal once more on a kept connection made an instance refuse a request that ran ("not run", REFUSED) or send it again while it ran (TWICE), in two ways: - The owner of a key refused a request (421 before it had heard of its grant, or 503 with a free slot), and the request went to the same owner again on the same connection: the earlier refusal names the same request. - An answer that names no request was taken for the answer of any. A success of that kind reached the wrong caller (MIXED), as did any answer where the request has no id. Services without keys never send to the same server twice.

Cause: an id tells answers on a connection apart only if the connection has not carried it before, and an answer without one cannot be told at all; ServerLinks took it as it came.

A request that goes to an address again, or that has no id, uses a new connection. New connections are only those of repeats to the same owner and of callers without ids.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -397,6 +397,12 @@
       this->wire.MakeServerRequest(job.request, server, job.deadline - now);
   exchange.deadline = job.deadline;
   exchange.may_repeat = job.route->idempotent;
+  // A server may write an earlier answer once more on a kept connection. Only
+  // an id that the connection has not carried yet tells the answers apart.
+  exchange.fresh_connection =
+      job.metadata.id.empty() ||
+      std::ranges::find(job.tried_addresses, server.address) !=
+          job.tried_addresses.end();
   const auto service = job.config->services.find(job.service);
   if (service != job.config->services.end()) {
     const auto share = policy::ShareOfConnections(
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -140,6 +140,8 @@
   void Finish(Job& job, net::HttpAnswer answer);
   void RemoveJob(Job& job);
   void LogRefusal(const Job& job, const kernel::Error& error) const;
+  void DropUnidentifiedAnswer(const Job& job,
+                              net::TransferResult& result) const;
   void LogEjection(const Job& job, policy::AttemptOutcome cause) const;
   double RandomUnit();
 
--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -65,7 +65,9 @@
   }
   if (result.possibly_sent) {
     job.tried_servers.push_back(job.server_id);
+    job.tried_addresses.push_back(job.server_address);
   }
+  this->DropUnidentifiedAnswer(job, result);
   if (result.end == net::TransferEnd::kComplete) {
     this->OnAnswer(job, std::move(result.answer), now);
   } else {
@@ -74,6 +76,22 @@
   this->DispatchQueue(this->GetOrCreateServiceState(service), now);
 }
 
+/// An answer on a kept connection that names no request may be an earlier one,
+/// written once more, while this request runs.
+void Dispatcher::DropUnidentifiedAnswer(const Job& job,
+                                        net::TransferResult& result) const {
+  const bool is_certain =
+      result.end != net::TransferEnd::kComplete || !result.reused_connection ||
+      this->wire.ClassifyAnswer(result.answer).names_request;
+  if (is_certain) return;
+  observe::LogWarn("answer_unidentified",
+                   {{"request", job.metadata.id},
+                    {"server", job.server_id},
+                    {"status", std::to_string(result.answer.status)}});
+  result.end = net::TransferEnd::kBroken;
+  result.answer = {};
+}
+
 void Dispatcher::RecordCompletion(
     Job& job, AttemptOutcome end,
     const std::optional<policy::ReportedLoad>& load, Instant now) {
--- a/src/dispatch/dispatcher_state.h
+++ b/src/dispatch/dispatcher_state.h
@@ -51,6 +51,8 @@
   kernel::Instant wait_deadline = kernel::kNever;
   /// Servers to which the request was sent.
   std::vector<std::string> tried_servers;
+  /// Where they were; another server may have taken an address over.
+  std::vector<net::Address> tried_addresses;
   /// Fencing token of the grant whose owner last rejected the key.
   std::optional<std::uint64_t> rejected_fence;
   unsigned failed_connects = 0;
--- a/src/dispatch/wire.h
+++ b/src/dispatch/wire.h
@@ -36,6 +36,7 @@
   /// Callers would take the status to mean that the request did not run, but
   /// the server does not state that.
   bool status_implies_not_run = false;
+  bool names_request = false;     ///< States the id of its request.
   bool signed_by_server = false;  ///< Has the server's signature header.
   std::optional<policy::ReportedLoad> load;
 };
@@ -57,7 +58,8 @@
   /// Reads what the headers and status of a server's answer state.
   virtual AnswerInfo ClassifyAnswer(const net::HttpAnswer& answer) = 0;
 
-  /// Whether `answer` belongs to the request with this id.
+  /// Whether `answer` may belong to the request with this id, which may be
+  /// empty: it states no other id.
   virtual bool MatchesRequest(const net::HttpAnswer& answer,
                               std::string_view request_id) = 0;
 
--- a/src/net/server_links.cc
+++ b/src/net/server_links.cc
@@ -364,7 +364,8 @@
 TransferId ServerLinks::Impl::Start(Exchange exchange) {
   const Instant now = kernel::Now();
   const TransferId id = ++this->last_id;
-  Link* link = this->TakeIdle(exchange, now);
+  Link* link =
+      exchange.fresh_connection ? nullptr : this->TakeIdle(exchange, now);
   if (link != nullptr) {
     link->reused = true;
   } else {
--- a/src/net/server_links.h
+++ b/src/net/server_links.h
@@ -31,6 +31,8 @@
   HttpRequest request;  ///< `url` is the request target.
   kernel::Instant deadline;
   bool may_repeat = false;  ///< Whether the request is idempotent.
+  /// Use no idle connection: on a new one each answer is to this request.
+  bool fresh_connection = false;
   std::size_t max_answer_bytes = 64U << 20U;
   /// Idle connections to `address` that are kept after this request.
   std::size_t max_idle = std::numeric_limits<std::size_t>::max();
