An order's answer comes on a new connection, unless it renews a grant

What would be seen: a server that writes an earlier answer once more ends a release whose work still runs: the next owner gets the keys while the first holds them (OWNER). An earlier refusal denies a first grant that the server has taken, with the same end.

Cause: orders have no id, and went over the kept connections of requests; any answer was taken for theirs, also one that names a caller's request.

An answer that names a request belongs to no order. Releases, first grants and grants after a failure use a new connection, on which the first answer is theirs. Renewals, which are nearly all orders, may use a kept one: there an answer that doesn't accept is no answer, and the grant is sent again. What stays open: a renewal that a false acceptance hides and that the server takes seconds later, behind the release.

--- a/src/node/formats.h
+++ b/src/node/formats.h
@@ -35,6 +35,9 @@
   virtual net::HttpRequest EncodeOrder(
       const ranges::RangeOrder& order) const = 0;
 
+  /// Whether `answer` may be to an order: it names no caller's request.
+  virtual bool MayAnswerOrder(const net::HttpAnswer& answer) const = 0;
+
   /// The outcome of an order that was answered.
   virtual ranges::OrderReply DecodeOrderAnswer(
       std::uint64_t order_id, const net::HttpAnswer& answer) const = 0;
--- a/src/node/key_service.cc
+++ b/src/node/key_service.cc
@@ -126,6 +126,12 @@
   exchange.request = this->formats.EncodeOrder(order);
   exchange.deadline = kernel::Now() + order.timeout;
   exchange.may_repeat = true;
+  // Orders have no id. On a kept connection an earlier answer, written once
+  // more, could end a release or deny a grant that the server has taken.
+  exchange.fresh_connection = !order.is_renewal;
+  exchange.belongs = [this](const net::HttpAnswer& answer) {
+    return this->formats.MayAnswerOrder(answer);
+  };
   exchange.done = [this, order](const net::TransferResult& result) {
     ranges::OrderReply reply;
     reply.id = order.id;
@@ -133,6 +139,12 @@
     if (result.end == net::TransferEnd::kComplete) {
       reply = this->formats.DecodeOrderAnswer(order.id, result.answer);
     }
+    // The order is sent again, on a new connection.
+    const bool is_certain = !result.reused_connection ||
+                            reply.end == ranges::OrderOutcome::kAccepted;
+    if (result.end == net::TransferEnd::kComplete && !is_certain) {
+      reply.end = ranges::OrderOutcome::kNoAnswer;
+    }
     const bool grant = order.kind == ranges::OrderKind::kGrant;
     this->metrics
         .Count(grant ? "chervilmux_grants_total" : "chervilmux_releases_total",
--- a/src/ranges/range_grantor.h
+++ b/src/ranges/range_grantor.h
@@ -94,6 +94,8 @@
   /// Data from the previous owner. Set only in a grant; may be empty.
   std::string handover;
   kernel::Duration timeout;
+  /// The server has accepted this grant before, and has answered since.
+  bool is_renewal = false;
 };
 
 enum class OrderOutcome : std::uint8_t {
--- a/src/ranges/range_grantor_orders.cc
+++ b/src/ranges/range_grantor_orders.cc
@@ -305,7 +305,11 @@
   order.grant_duration = this->timing.grant_duration;
   order.timeout = this->timing.order_timeout;
   if (from == to) order.handover = this->range_states[from].range.handover;
+  order.is_renewal = true;
   for (std::size_t i = from; i <= to; ++i) {
+    order.is_renewal = order.is_renewal &&
+                       this->range_states[i].accepted_grant &&
+                       this->range_states[i].failed_orders == 0;
     this->range_states[i].order_id = order.id;
     order.fence = std::max(order.fence, this->range_states[i].range.fence);
   }
--- a/test/correctness/repeated_refusal_test.cc
+++ b/test/correctness/repeated_refusal_test.cc
@@ -1,11 +1,12 @@
 // A faulty server writes an earlier answer once more on a kept connection: it
-// is never taken for the answer of a later request.
+// is never taken for the answer of a later request or order.
 
 #include <doctest/doctest.h>
 
 #include <atomic>
 #include <chrono>
 #include <future>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -18,7 +19,9 @@
 #include "kernel/task.h"
 #include "net/http_front.h"
 #include "net/server_links.h"
+#include "node/key_service.h"
 #include "observe/metrics.h"
+#include "platform_formats.h"
 #include "platform_wire.h"
 
 namespace chervilmux {
@@ -240,5 +243,143 @@
   CHECK(PromisesNotRun(entry.Ask("r-1")));
 }
 
+/// A store in memory.
+class MemoryStore : public store::MetadataStore {
+ public:
+  explicit MemoryStore(kernel::ReactorTask& task) : task(task) {}
+  void List(std::string_view table,
+            std::function<void(store::RowsReply)> done) override {
+    store::RowsReply reply;
+    reply.status = store::StoreStatus::kDone;
+    reply.version = this->version;
+    for (const auto& [key, row] : this->rows[std::string(table)]) {
+      reply.rows.push_back(row);
+    }
+    this->task.Post([=] { done(reply); });
+  }
+  void Follow(std::string_view, std::uint64_t, kernel::Duration,
+              std::function<void(store::RowsReply)>) override {}
+  void Commit(const store::Transaction& transaction,
+              std::function<void(store::CommitReply)> done) override {
+    store::CommitReply reply;
+    reply.status = store::StoreStatus::kDone;
+    reply.version = ++this->version;
+    for (store::Row row : transaction.writes) {
+      row.version = this->version;
+      this->rows[row.table][row.key] = row;
+    }
+    this->task.Post([=] { done(reply); });
+  }
+
+ private:
+  kernel::ReactorTask& task;
+  std::uint64_t version = 0;
+  std::map<std::string, std::map<std::string, store::Row>> rows;
+};
+
+/// The leader of a keyed service.
+class Leader {
+ public:
+  Leader() : store(this->task) {
+    this->registry.Add<store::MetadataStore>("store", this->store);
+    this->registry.Add<node::Formats>("formats", this->formats);
+    this->registry.Add("metrics", this->metrics);
+    this->links = std::make_unique<net::ServerLinks>(this->task);
+    this->registry.Add("server_links", *this->links);
+    node::KeyServiceEvents events;
+    events.on_owners = [](const ranges::RangeTable&) {};
+    events.on_publish = [](const ranges::RangeDelta&) {};
+    this->service = std::make_unique<node::KeyService>(
+        this->registry, "s", "a", 0, ranges::GrantorTiming(),
+        std::move(events));
+    this->service->Grantor().EnableLeadership(1);
+    this->task.Every(milliseconds(5), [this] {
+      this->service->Tick(kernel::Now());
+      this->links->CheckTime(kernel::Now());
+    });
+    this->task.Start();
+  }
+  ~Leader() { this->task.Stop(); }
+
+  void List(const std::vector<model::BackendServer>& servers) {
+    std::promise<void> done;
+    this->task.Post([&] {
+      this->service->Grantor().OnServerList(servers, kernel::Now());
+      done.set_value();
+    });
+    done.get_future().get();
+  }
+
+ private:
+  kernel::Registry registry;
+  kernel::ReactorTask task;
+  MemoryStore store;
+  platform::PlatformFormats formats;
+  observe::Metrics metrics;
+  std::unique_ptr<net::ServerLinks> links;
+  std::unique_ptr<node::KeyService> service;
+};
+
+model::BackendServer Listed(const std::string& id,
+                            const net::Address& address) {
+  model::BackendServer server;
+  server.id = id;
+  server.service = "s";
+  server.address = address;
+  server.failure_domain = "z";
+  server.slots = 8;
+  server.life = 1;
+  return server;
+}
+
+bool WaitUntil(const std::atomic<bool>& condition) {
+  constexpr int kTries = 1000;
+  for (int i = 0; i < kTries && !condition; ++i) {
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  return condition;
+}
+
+TEST_CASE("a grant's answer that is written again ends no release") {
+  const std::string accepted = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  std::string again;
+  SUBCASE("as it was") { again = accepted; }
+  SUBCASE("or a request's answer") { again = Success("r-1", "x"); }
+  std::atomic<bool> granted = false;
+  std::atomic<bool> released = false;
+  std::atomic<bool> moved = false;
+  std::atomic<bool> held_by_two = false;
+  std::size_t grants_on = 0;
+  FaultyServer owner([&](FaultyServer& self, std::size_t connection,
+                         const std::string& order) {
+    if (order.starts_with("POST /-/grant")) {
+      grants_on = connection;
+      self.Send(connection, accepted);
+      granted = true;
+      return;
+    }
+    self.Send(grants_on, again);
+    // Its last request on these keys still runs.
+    std::this_thread::sleep_for(milliseconds(700));
+    released = true;
+    self.Send(connection, accepted);
+  });
+  FaultyServer next(
+      [&](FaultyServer& self, std::size_t connection, const std::string&) {
+        if (!released) held_by_two = true;
+        self.Send(connection, accepted);
+        moved = true;
+      });
+  Leader leader;
+  auto leaving = Listed("i-1", owner.Address());
+  leader.List({leaving});
+  REQUIRE(WaitUntil(granted));
+  LetArrive();
+  leaving.draining = true;
+  leader.List({leaving, Listed("i-2", next.Address())});
+  REQUIRE(WaitUntil(moved));
+  CHECK_FALSE(held_by_two);
+}
+
 }  // namespace
 }  // namespace chervilmux
