Time limits judge what had arrived when they ended, and an idle close closes

And a caller that reads after an orderly end and a reset sees the orderly end only.

Change: a check reads what is there, once, and then judges. A connection that is closed as idle is closed at once instead of lingering, unless its last answer may be on its way; what crosses the close is answered by a reset of the kernel.

--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -33,8 +33,6 @@
 /// How long a closed connection still takes in bytes of its caller. Closing
 /// with unread bytes would reset it and could destroy the last answer.
 constexpr kernel::Duration kLingerTime = kernel::seconds(2);
-/// The end of this side counts as one unacknowledged byte.
-constexpr int kOwnClose = 1;
 constexpr int kListenBacklog = 1024;
 /// One in so many connections is closed at a time to make room.
 constexpr std::size_t kClosedTogether = 50;
@@ -145,12 +143,6 @@
 
   int handle_input(ACE_HANDLE /*handle*/) override {
     if (this->retired) return 0;
-    if (this->lingering && this->CrossesIdleClose()) {
-      // Unread bytes reset the connection, so that the caller knows that what
-      // it has sent was not read.
-      this->owner.Bury(this->id);
-      return 0;
-    }
     std::array<char, kReadChunk> chunk;
     const ssize_t got =
         recv(this->stream.get_handle(), chunk.data(), chunk.size(), 0);
@@ -191,26 +183,21 @@
 
   /// Closes what is idle or over its time.
   void CheckTime(Instant now) {
+    if (this->retired) return;
     if (this->lingering) {
       if (now >= this->linger_until) this->owner.Bury(this->id);
       return;
     }
-    if (!this->slots.empty() || !this->output.empty()) return;
     if (!this->IsOverTime(now)) return;
     // What has arrived counts, not what an instance that is behind has read.
-    if (this->UnreadBytes() > 0) {
-      this->handle_input(this->get_handle());
-      return;
-    }
+    this->ReadArrived();
+    if (this->retired || this->lingering || !this->IsOverTime(now)) return;
     if (this->reader.InMessage()) {
-      if (now >= this->request_deadline) {
-        this->Refuse({kernel::ErrorKind::kRequestTimeout,
-                      "the request took too long to arrive"});
-      }
-    } else if (now >= this->idle_until) {
-      this->BeginLinger(ConnectionEnd::kIdle);
-    } else if (this->owner.stopped) {
-      this->BeginLinger(ConnectionEnd::kStop);
+      this->Refuse({kernel::ErrorKind::kRequestTimeout,
+                    "the request took too long to arrive"});
+    } else {
+      this->CloseIdle(now >= this->idle_until ? ConnectionEnd::kIdle
+                                              : ConnectionEnd::kStop);
     }
   }
 
@@ -226,7 +213,17 @@
         ioctl(this->stream.get_handle(), FIONREAD, &bytes) == 0 && bytes > 0;
     return known ? static_cast<std::size_t>(bytes) : 0;
   }
-  void CloseIdle() { this->BeginLinger(ConnectionEnd::kRoom); }
+  /// Closes at once, so that what still arrives resets the connection and its
+  /// caller knows that it was not read. Lingers while the last answer may be on
+  /// its way, which a reset could destroy.
+  void CloseIdle(ConnectionEnd end) {
+    if (end != ConnectionEnd::kIdle && !this->IsDelivered()) {
+      this->BeginLinger(end);
+      return;
+    }
+    this->TellEnd(end);
+    this->owner.Bury(this->id);
+  }
   std::size_t BufferedBytes() const { return this->reader.BufferedBytes(); }
 
   void SetLimits(const ReadLimits& limits) { this->reader.SetLimits(limits); }
@@ -367,20 +364,25 @@
                        : ConnectionEnd::kCallerClosed;
   }
 
-  /// Whether a time limit of a connection without pending requests is over.
+  /// Reads what is there now, but not what comes meanwhile.
+  void ReadArrived() {
+    auto arrived = static_cast<std::ptrdiff_t>(this->UnreadBytes());
+    for (; arrived > 0 && !this->retired; arrived -= std::ptrdiff_t{kReadChunk})
+      this->handle_input(this->get_handle());
+  }
+
+  /// Whether a time limit is over. None runs while an answer is due.
   bool IsOverTime(Instant now) const {
+    if (!this->slots.empty() || !this->output.empty()) return false;
     if (this->reader.InMessage()) return now >= this->request_deadline;
     return now >= this->idle_until || this->owner.stopped;
   }
 
-  /// Whether bytes have arrived since the connection was closed as idle. Not
-  /// while the last answer is on its way, which a reset could destroy.
-  bool CrossesIdleClose() const {
+  /// Whether the caller's side has acknowledged all answers.
+  bool IsDelivered() const {
     int unacknowledged = 0;
-    const bool delivered =
-        ioctl(this->stream.get_handle(), TIOCOUTQ, &unacknowledged) == 0 &&
-        unacknowledged <= kOwnClose;
-    return this->closed_idle && delivered && this->UnreadBytes() > 0;
+    return ioctl(this->stream.get_handle(), TIOCOUTQ, &unacknowledged) == 0 &&
+           unacknowledged == 0;
   }
 
   void TellEnd(ConnectionEnd end) const {
@@ -398,7 +400,6 @@
 
   void BeginLinger(ConnectionEnd end) {
     this->TellEnd(end);
-    this->closed_idle = end != ConnectionEnd::kAnswered;
     this->ending = true;
     this->lingering = true;
     this->linger_until = kernel::Now() + kLingerTime;
@@ -440,8 +441,7 @@
   bool ending = false;       ///< Reads no further request.
   bool close_when_flushed = false;
   bool lingering = false;
-  bool closed_idle = false;  ///< Lingers after a close without an answer.
-  bool reading = false;      ///< Guards against recursion.
+  bool reading = false;  ///< Guards against recursion.
   bool retired = false;
   Instant request_deadline;
   Instant idle_since;
@@ -474,10 +474,9 @@
   void Resume() { this->watch.Set(true); }
 
   int handle_input(ACE_HANDLE /*handle*/) override {
-    if (!this->owner.HasRoom()) {
-      this->owner.CloseIdlest();
-      this->watch.Set(false);  // Until a connection has closed.
-    }
+    if (!this->owner.HasRoom()) this->owner.CloseIdlest();
+    // Until a connection has closed.
+    if (!this->owner.HasRoom()) this->watch.Set(false);
     while (this->owner.HasRoom()) {
       const int handle = accept4(this->socket.get_handle(), nullptr, nullptr,
                                  SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -517,7 +516,7 @@
   for (Connection* connection : idle) {
     if (left == 0) break;
     if (connection->UnreadBytes() > 0) continue;
-    connection->CloseIdle();
+    connection->CloseIdle(ConnectionEnd::kRoom);
     left -= 1;
   }
 }
