A raised idle limit reaches connections that are idle

Change: a new limit moves the end of idle connections back, never forward, since a caller may still go by the earlier one. known_red.h, unused by now, goes.

--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -226,7 +226,12 @@
   }
   std::size_t BufferedBytes() const { return this->reader.BufferedBytes(); }
 
-  void SetLimits(const ReadLimits& limits) { this->reader.SetLimits(limits); }
+  void SetLimits(const FrontLimits& limits) {
+    this->reader.SetLimits(limits.read);
+    // A caller may go by the longer of the two limits.
+    this->idle_until =
+        std::max(this->idle_until, this->idle_since + limits.idle_timeout);
+  }
 
   /// Leaves the reactor and closes; the object may still be on the call stack.
   void Retire() {
@@ -570,7 +575,7 @@
 void HttpFront::SetLimits(const FrontLimits& limits) {
   this->impl->limits = limits;
   for (const auto& [id, connection] : this->impl->connections) {
-    connection->SetLimits(limits.read);
+    connection->SetLimits(limits);
   }
 }
 
--- a/test/correctness/late_instance_test.cc
+++ b/test/correctness/late_instance_test.cc
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <future>
 #include <memory>
 #include <string>
@@ -10,7 +11,6 @@
 #include <vector>
 
 #include "data_path_ends.h"
-#include "known_red.h"
 #include "loopback_listener.h"
 
 namespace chervilmux::net {
@@ -19,12 +19,14 @@
 /// Longer than the time between two checks of time limits.
 constexpr kernel::Duration kBetweenChecks = milliseconds(300);
 
-/// Keeps a task from running.
+/// Keeps a task from running, after it has done `first`.
 class Pause {
  public:
-  explicit Pause(kernel::ReactorTask& task) {
+  explicit Pause(
+      kernel::ReactorTask& task, std::function<void()> first = [] {}) {
     std::promise<void> begun;
-    task.Post([&begun, end = this->end.get_future().share()] {
+    task.Post([&begun, first, end = this->end.get_future().share()] {
+      first();
       begun.set_value();
       end.wait();
     });
@@ -85,14 +87,20 @@
     CHECK(IsServed(front, *caller, "/after"));
   }
   SUBCASE("is served when the instance stops") {
-    front.task.Post([&] { front.front->StopAccepting(); });
     {
-      const Pause pause(front.task);
+      const Pause pause(front.task, [&] { front.front->StopAccepting(); });
       std::this_thread::sleep_for(kBetweenChecks);
       caller->Send(Get("/after"));
     }
     CHECK(IsServed(front, *caller, "/after"));
   }
+  SUBCASE("is served when the limit has been raised meanwhile") {
+    limits.idle_timeout = seconds(20);
+    front.Do([&] { front.front->SetLimits(limits); });
+    std::this_thread::sleep_for(seconds(1) + kBetweenChecks);
+    caller->Send(Get("/after"));
+    CHECK(IsServed(front, *caller, "/after"));
+  }
   SUBCASE("is served when new connections need room") {
     const Caller second(front.address);
     while (front.Connections() < 2) std::this_thread::yield();
