--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -34,6 +34,9 @@
 /// with unread bytes would reset it and could destroy the last answer.
 constexpr kernel::Duration kLingerTime = kernel::seconds(2);
 constexpr int kListenBacklog = 1024;
+/// After a stop a connection is closed when it has been idle for this long: the
+/// request of one that has just been accepted may be on its way.
+constexpr kernel::Duration kStopIdleTime = kernel::milliseconds(300);
 /// One in so many connections is closed at a time to make room.
 constexpr std::size_t kClosedTogether = 50;
 
@@ -380,7 +383,9 @@
   bool IsOverTime(Instant now) const {
     if (!this->slots.empty() || !this->output.empty()) return false;
     if (this->reader.InMessage()) return now >= this->request_deadline;
-    return now >= this->idle_until || this->owner.stopped;
+    const bool stops =
+        this->owner.stopped && now >= this->idle_since + kStopIdleTime;
+    return stops || now >= this->idle_until;
   }
 
   /// Whether the caller's side has acknowledged all answers.
@@ -478,6 +483,10 @@
   /// Takes connections again after a pause.
   void Resume() { this->watch.Set(true); }
 
+  /// Takes the connections that wait to be accepted, as far as there is room:
+  /// closing the socket would reset them with the requests that they carry.
+  void TakeWaiting() { this->handle_input(this->get_handle()); }
+
   int handle_input(ACE_HANDLE /*handle*/) override {
     if (!this->owner.HasRoom()) this->owner.CloseIdlest();
     // Until a connection has closed.
@@ -582,6 +591,7 @@
 void HttpFront::CloseAfterAnswers() { this->impl->close_after_answers = true; }
 
 void HttpFront::StopAccepting() {
+  if (this->impl->acceptor) this->impl->acceptor->TakeWaiting();
   this->impl->acceptor.reset();
   this->impl->stopped = true;
 }
