A request that opening its connection delayed is renewed or not sent

Change: when opening took longer than its limit, a request is made anew with the time that is left then; orders, and requests whose deadline is over, are not sent. An answer that ends with its connection, or a reset, that arrived before the deadline is read before it counts as silence.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -413,6 +413,11 @@
   exchange.is_wanted = [this, ref = job.ref] {
     return !this->front->HasCallerLeft(ref);
   };
+  exchange.renew = [this, id = job.id, server] {
+    const Job& waiting = *this->jobs.at(id);
+    return this->wire.MakeServerRequest(waiting.request, server,
+                                        waiting.deadline - kernel::Now());
+  };
   exchange.belongs = [this,
                       id = job.metadata.id](const net::HttpAnswer& answer) {
     return this->wire.MatchesRequest(answer, id);
--- a/src/net/server_links.cc
+++ b/src/net/server_links.cc
@@ -195,7 +195,7 @@
       if (now >= this->idle_until) this->owner.Retire(*this);
     } else if (this->connecting && now >= this->connect_deadline) {
       // What has arrived counts, not what an instance that is behind has seen.
-      if (now < this->exchange->deadline && this->IsConnected()) {
+      if (this->IsConnected()) {
         this->handle_output(this->get_handle());
       } else {
         this->Fail(TransferEnd::kNotSent);
@@ -264,6 +264,8 @@
     if (ioctl(this->stream.get_handle(), FIONREAD, &arrived) != 0) return;
     for (; arrived > 0 && this->exchange; arrived -= int{kReadChunk})
       this->handle_input(this->get_handle());
+    // The end of the connection counts no bytes.
+    if (this->exchange) this->handle_input(this->get_handle());
   }
 
   bool FinishConnect() {
@@ -279,6 +281,19 @@
       this->Fail(TransferEnd::kCancelled);
       return false;
     }
+    return this->IsStillTimely(kernel::Now());
+  }
+
+  /// Whether the request may be sent although opening the connection took until
+  /// `now`. Renews it if need be; ends the transfer if not.
+  bool IsStillTimely(Instant now) {
+    if (now < this->connect_deadline) return true;
+    if (now >= this->exchange->deadline || !this->exchange->renew) {
+      this->Fail(TransferEnd::kNotSent);
+      return false;
+    }
+    this->exchange->request = this->exchange->renew();
+    this->output = EncodeRequest(this->exchange->request);
     return true;
   }
 
--- a/src/net/server_links.h
+++ b/src/net/server_links.h
@@ -42,6 +42,10 @@
   /// Asked once a new connection is open, before the request is sent: whether
   /// its caller still waits. Otherwise the transfer ends as kCancelled.
   std::function<bool()> is_wanted;
+  /// The request as it is to be sent now, asked when opening the connection
+  /// took long: the time that it leaves its server has changed. Without it such
+  /// a request is not sent.
+  std::function<HttpRequest()> renew;
   /// Whether an answer belongs to this request; others are thrown away.
   std::function<bool(const HttpAnswer&)> belongs;
   TransferDone done;
