Callers' idle time counts from when an answer has reached them

Callers saw connections closed while their request was on its way.

Change: connections stay open 5 s beyond the limit told to callers. A peer's sync is waited for 0.6 s instead of 0.8 s, within the age at which knowledge counts as current; a caller that acknowledges nothing is given up after 5 s instead of 15 s, since its unsent answers hold memory meanwhile.

--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -24,7 +24,7 @@
 /// The same for callers. No other way leads to a caller, and it acknowledges
 /// late while the instance's own link is full.
 inline constexpr kernel::Duration kCallerUnacknowledgedLimit =
-    kernel::seconds(15);
+    kernel::seconds(5);
 
 /// Sets non-blocking mode, no delay, keep-alive probes and the limit on
 /// unacknowledged bytes. Failures are logged: a connection without them works,
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -38,6 +38,11 @@
 /// which bound their connections themselves, peers, the store and files.
 constexpr double kCallersShareOfDescriptors = 0.6;
 
+/// Callers' connections stay open for this much longer than callers may leave
+/// them idle: a caller counts from when an answer has reached it, and its next
+/// request takes time too.
+constexpr Duration kIdleSlack = kernel::seconds(5);
+
 /// Share of the memory that unfinished answers of servers may use.
 constexpr double kAnswersShareOfMemory = 0.25;
 
@@ -252,7 +257,7 @@
   net::FrontLimits front_limits;
   front_limits.read = {limits.max_head_bytes, limits.max_body_bytes};
   front_limits.request_timeout = limits.head_timeout;
-  front_limits.idle_timeout = limits.idle_timeout;
+  front_limits.idle_timeout = limits.idle_timeout + kIdleSlack;
   front_limits.max_connections = static_cast<std::size_t>(
       kCallersShareOfDescriptors *
       static_cast<double>(this->settings.max_descriptors));
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -21,7 +21,7 @@
 constexpr Duration kPeerTimeout = milliseconds(400);
 /// An answer with a large configuration takes longer: the peer makes it for
 /// many instances at once.
-constexpr Duration kSyncTimeout = milliseconds(800);
+constexpr Duration kSyncTimeout = milliseconds(600);
 /// An instance that did not take a change of owners gets none for this long;
 /// those that would have heard it from that instance get it directly.
 constexpr Duration kUnreachableTime = milliseconds(3000);
