--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -26,8 +26,7 @@
 
 /// Maximum time for which a request of `route` waits for a free server.
 Duration MaxWait(const model::Route& route) {
-  return std::chrono::duration_cast<Duration>(route.latency_objective *
-                                              kMaxWaitShare);
+  return kernel::ToDuration(route.latency_objective * kMaxWaitShare);
 }
 
 std::string_view PathOf(std::string_view target) {
@@ -202,8 +201,8 @@
   // starved.
   constexpr double kPriorityDelay = 0.5;
   const double delay_factor = 1 + kPriorityDelay * job.route->priority;
-  job.soft_deadline = now + std::chrono::duration_cast<Duration>(
-                                job.route->latency_objective * delay_factor);
+  job.soft_deadline =
+      now + kernel::ToDuration(job.route->latency_objective * delay_factor);
   const auto service = job.config->services.find(job.service);
   job.keyed = service != job.config->services.end() && service->second.keyed;
   if (job.keyed && !job.metadata.key) {
@@ -398,6 +397,12 @@
       this->wire.MakeServerRequest(job.request, server, job.deadline - now);
   exchange.deadline = job.deadline;
   exchange.may_repeat = job.route->idempotent;
+  // A server may write an earlier answer once more on a kept connection. Only
+  // an id that the connection has not carried yet tells the answers apart.
+  exchange.fresh_connection =
+      job.metadata.id.empty() ||
+      std::ranges::find(job.tried_addresses, server.address) !=
+          job.tried_addresses.end();
   const auto service = job.config->services.find(job.service);
   if (service != job.config->services.end()) {
     const auto share = policy::ShareOfConnections(
@@ -408,6 +413,11 @@
   exchange.is_wanted = [this, ref = job.ref] {
     return !this->front->HasCallerLeft(ref);
   };
+  exchange.renew = [this, id = job.id, server] {
+    const Job& waiting = *this->jobs.at(id);
+    return this->wire.MakeServerRequest(waiting.request, server,
+                                        waiting.deadline - kernel::Now());
+  };
   exchange.belongs = [this,
                       id = job.metadata.id](const net::HttpAnswer& answer) {
     return this->wire.MatchesRequest(answer, id);
--- a/src/net/server_links.h
+++ b/src/net/server_links.h
@@ -31,6 +31,8 @@
   HttpRequest request;  ///< `url` is the request target.
   kernel::Instant deadline;
   bool may_repeat = false;  ///< Whether the request is idempotent.
+  /// Use no idle connection: on a new one each answer is to this request.
+  bool fresh_connection = false;
   std::size_t max_answer_bytes = 64U << 20U;
   /// Idle connections to `address` that are kept after this request.
   std::size_t max_idle = std::numeric_limits<std::size_t>::max();
@@ -40,6 +42,10 @@
   /// Asked once a new connection is open, before the request is sent: whether
   /// its caller still waits. Otherwise the transfer ends as kCancelled.
   std::function<bool()> is_wanted;
+  /// The request as it is to be sent now, asked when opening the connection
+  /// took long: the time that it leaves its server has changed. Without it such
+  /// a request is not sent.
+  std::function<HttpRequest()> renew;
   /// Whether an answer belongs to this request; others are thrown away.
   std::function<bool(const HttpAnswer&)> belongs;
   TransferDone done;
