The era of the store in its answers

The users' store may come back from a copy some seconds old: versions go back and are given out again, and the header Store-Era of all its answers rises by one. Nothing in the code knew it, so versions of two eras were compared.

The stand-in of the store keeps copies and comes back from one. No decision uses the era yet.

--- a/src/store/metadata_store.h
+++ b/src/store/metadata_store.h
@@ -1,6 +1,10 @@
 /// \file
 /// Defines the interface to the platform's metadata store: rows in tables,
 /// changed by atomic transactions under conditions and followed by version.
+///
+/// The store may come back from an older copy of itself. That begins a new era:
+/// what was written since the copy is gone, and versions are given out again.
+/// Versions are comparable within one era only.
 
 #ifndef CHERVILMUX_STORE_METADATA_STORE_H_
 #define CHERVILMUX_STORE_METADATA_STORE_H_
@@ -36,6 +40,8 @@
   StoreStatus status = StoreStatus::kNoAnswer;
   std::vector<Row> rows;
   std::uint64_t version = 0;
+  /// The era in which the store answered; 0 without an answer.
+  std::uint64_t era = 0;
 };
 
 /// All rows of `expected` must have the versions given; then all of `writes`
@@ -48,6 +54,8 @@
 struct CommitReply {
   StoreStatus status = StoreStatus::kNoAnswer;
   std::uint64_t version = 0;  ///< Of the rows written, with kDone.
+  /// The era in which the store answered; 0 without an answer.
+  std::uint64_t era = 0;
 };
 
 /// All calls are asynchronous; callbacks run on the owning task's thread.
--- a/test/fakes/prepared_platform.py
+++ b/test/fakes/prepared_platform.py
@@ -46,6 +46,7 @@
 
 class Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    store_era = None  # set where the store answers
 
     def log_message(self, *_args):
         pass
@@ -57,6 +58,8 @@
         self.send_response_only(status)
         for name, value in headers:
             self.send_header(name, value)
+        if self.store_era is not None:
+            self.send_header("Store-Era", str(self.store_era))
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
@@ -93,6 +96,7 @@
         self.changes = []  # (version, table, key, value or None)
         self.version = 0
         self.oldest = 0  # changes up to here are forgotten
+        self.era = 1  # rises with each restore()
         self.fault = None
         self.lose_answers = 0  # this many writes are done and not answered
         self.calls = 0
@@ -100,6 +104,7 @@
 
     def serve(self, handler, door, action):
         self.calls += 1
+        handler.store_era = self.era
         fault = self.fault or door.fault
         if fault == "busy":
             handler.body()
@@ -141,6 +146,19 @@
             self.oldest = self.version
             self.changes = []
 
+    def copy(self):
+        """A copy of the store as it is, for restore()."""
+        with self.lock:
+            return dict(self.rows), list(self.changes), self.version
+
+    def restore(self, copy):
+        """Comes back from `copy`: what was written since is gone."""
+        with self.lock:
+            self.rows, self.changes, self.version = (
+                dict(copy[0]), list(copy[1]), copy[2])
+            self.era += 1
+            self.lock.notify_all()
+
     def _write(self, table, key, value):
         self.rows[(table, key)] = (value, self.version)
         self.changes.append((self.version, table, key, value))
@@ -157,6 +175,7 @@
 
     def _reply(self, handler, status, **fields):
         fields.update(ver=self.version, nowS=time.monotonic())
+        handler.store_era = self.era
         handler.answer(status, json.dumps(fields).encode(),
                        [("Content-Type", "application/json")])
 
@@ -195,7 +214,7 @@
         until = time.monotonic() + int(query["waitMs"]) / 1000
         with self.lock:
             while True:
-                if after < self.oldest:
+                if after < self.oldest or after > self.version:
                     return self._reply(handler, 410)
                 rows = [self._row(t, k, value, version)
                         for version, t, k, value in self.changes
