Tables of the store are ordered by era and version

What callers saw: after the store had come back from an older copy no instance took any later configuration; new routes were answered with 404 until the version of the store had passed the lost one, and rows written anew under a version that had been given out before were never taken.

Cause: versions of two eras were compared. A reader asked for changes after a version that the store did not have, got 410, listed the table, ignored the listing since its version was lower, and asked again at once. Peers passed on copies of the lost history by the same comparison.

Change: a replica belongs to one era, and only a whole table of a later era moves it on; changes of any other era are ignored. A follower that gets any answer of a later era lists its table; other tables' waiting calls of that instance are given up; a call that was made with a version of the earlier era is given up when a peer has brought the later one. A listing that is older than the copy counts as a failed call, and 410 is followed by a pause. Peers tell and get (era, version); a message without an era belongs to era 0. A peer's knowledge of an earlier era does not count as knowledge of the store: an instance behind an older build follows the store itself.

Owners, leases and fencing tokens are not part of this.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -74,15 +74,19 @@
                           std::string(this->formats.ConfigurationTable()),
                           kProofWait,
                           {[this] { this->OnConfiguration(); },
-                           [this] { this->OnProofFailed(); }}),
+                           [this] { this->OnProofFailed(); },
+                           [this](auto era) { this->OnLaterEra(era); }}),
       server_table(this->store, std::string(this->formats.ServerTable()),
                    kFollowWait,
                    {[this] { this->OnServerRows(); },
-                    [this] { this->NoteStoreTrouble(kernel::Now()); }}),
+                    [this] { this->NoteStoreTrouble(kernel::Now()); },
+                    [this](auto era) { this->OnLaterEra(era); }}),
       instances_table(this->store, std::string(kInstancesTable), kFollowWait,
-                      {[this] { this->OnInstances(); }, [] {}}),
+                      {[this] { this->OnInstances(); }, [] {},
+                       [this](auto era) { this->OnLaterEra(era); }}),
       ranges_table(this->store, std::string(kRangesTable), kFollowWait,
-                   {[this] { this->OnRanges(); }, [] {}}) {
+                   {[this] { this->OnRanges(); }, [] {},
+                    [this](auto era) { this->OnLaterEra(era); }}) {
   this->registry.Add("server_links", this->links);
   this->links.SetMaxBufferedBytes(static_cast<std::size_t>(
       kAnswersShareOfMemory *
@@ -193,6 +197,11 @@
   for (TableFollower* follower : this->Followers()) follower->Renew(now);
 }
 
+/// Other tables' calls may wait for changes of the earlier era for seconds.
+void Node::OnLaterEra(std::uint64_t era) {
+  for (TableFollower* follower : this->Followers()) follower->NoteEra(era);
+}
+
 void Node::NoteStoreTrouble(Instant at) {
   this->store_trouble_at = std::max(this->store_trouble_at, at);
   this->servers.NoteStoreTrouble(at);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -69,6 +69,7 @@
   void UpdateKeyServices();
   void Register();
   void OnProofFailed();
+  void OnLaterEra(std::uint64_t era);
   void NoteStoreTrouble(kernel::Instant at);
   void Sync(kernel::Instant now);
   std::set<std::string> SyncTargets(kernel::Instant now);
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -65,7 +65,7 @@
   SyncRequest request;
   request.sender = this->self;
   for (const TableFollower* follower : this->Followers()) {
-    request.table_versions[follower->Table()] = follower->Copy().Version();
+    request.table_versions[follower->Table()] = follower->Copy().AsOf();
   }
   for (const auto& [name, service] : this->key_services) {
     const auto& owners = service->Owners();
@@ -111,7 +111,10 @@
 }
 
 void Node::OnSyncReply(const SyncReply& reply, Instant sent_at) {
-  if (reply.knowledge_age_ms >= 0) {
+  // What belongs to an earlier era says nothing about the store as it is.
+  const bool counts =
+      reply.knowledge_era >= this->configuration_table.Copy().Era();
+  if (reply.knowledge_age_ms >= 0 && counts) {
     this->readers.OnPeerKnowledge(sent_at,
                                   milliseconds(reply.knowledge_age_ms));
   }
@@ -141,18 +144,19 @@
   const Instant now = kernel::Now();
   for (const TableFollower* follower : this->Followers()) {
     const auto known = request.table_versions.find(follower->Table());
-    const std::uint64_t since =
-        known == request.table_versions.end() ? 0 : known->second;
+    const replica::TableVersion since = known == request.table_versions.end()
+                                            ? replica::TableVersion()
+                                            : known->second;
     const replica::RowReplica& copy = follower->Copy();
-    if (copy.Version() <= since) continue;
+    if (copy.AsOf() <= since) continue;
     TableChanges& changes = reply.tables[follower->Table()];
     changes.all = !copy.HasHistorySince(since);
-    changes.rows = copy.ChangesAfter(changes.all ? 0 : since);
+    changes.rows = copy.ChangesAfter(changes.all ? 0 : since.version);
     if (changes.all) {
       std::erase_if(changes.rows,
                     [](const store::Row& row) { return row.removed; });
     }
-    changes.version = copy.Version();
+    changes.as_of = copy.AsOf();
   }
   for (const auto& [name, service] : this->key_services) {
     if (service->Grantor().MayChangeOwners(now)) reply.leads.push_back(name);
@@ -170,6 +174,7 @@
   }
   if (const auto age = this->readers.KnowledgeAge(now)) {
     reply.knowledge_age_ms = kernel::ToMs(*age);
+    reply.knowledge_era = this->configuration_table.Copy().Era();
   }
   if (this->store_trouble_at != kernel::kNever) {
     reply.store_trouble_ms_ago = kernel::ToMs(now - this->store_trouble_at);
--- a/src/node/peer_message.cc
+++ b/src/node/peer_message.cc
@@ -93,8 +93,10 @@
   Json::Value json(Json::objectValue);
   json["sender"] = ToJson(request.sender);
   Json::Value& tables = json["tables"] = Json::Value(Json::objectValue);
-  for (const auto& [table, version] : request.table_versions) {
-    tables[table] = Json::UInt64(version);
+  Json::Value& eras = json["eras"] = Json::Value(Json::objectValue);
+  for (const auto& [table, as_of] : request.table_versions) {
+    tables[table] = Json::UInt64(as_of.version);
+    eras[table] = Json::UInt64(as_of.era);
   }
   Json::Value& views = json["views"] = Json::Value(Json::objectValue);
   for (const auto& [service, version] : request.view_versions) {
@@ -116,9 +118,13 @@
   BOOST_OUTCOME_TRY(parsed_sender, InstanceFrom(json["sender"]));
   request.sender = std::move(parsed_sender);
   const Json::Value& tables = json["tables"];
+  // Absent from older builds, which know no eras.
+  const Json::Value& eras = json["eras"];
   if (tables.isObject()) {
     for (const auto& table : tables.getMemberNames()) {
-      request.table_versions[table] = kernel::UintOr(tables, table.c_str());
+      replica::TableVersion& as_of = request.table_versions[table];
+      as_of.version = kernel::UintOr(tables, table.c_str());
+      if (eras.isObject()) as_of.era = kernel::UintOr(eras, table.c_str());
     }
   }
   const Json::Value& views = json["views"];
@@ -145,7 +151,8 @@
   Json::Value json(Json::objectValue);
   for (const auto& [table, changes] : reply.tables) {
     Json::Value& item = json["tables"][table] = Json::Value(Json::objectValue);
-    item["version"] = Json::UInt64(changes.version);
+    item["era"] = Json::UInt64(changes.as_of.era);
+    item["version"] = Json::UInt64(changes.as_of.version);
     item["all"] = changes.all;
     Json::Value& rows = item["rows"] = Json::Value(Json::arrayValue);
     for (const auto& row : changes.rows) rows.append(ToJson(row));
@@ -156,6 +163,7 @@
   for (const auto& service : reply.leads) json["leads"].append(service);
   json["store_trouble_ms_ago"] = Json::Int64(reply.store_trouble_ms_ago);
   json["knowledge_age_ms"] = Json::Int64(reply.knowledge_age_ms);
+  json["knowledge_era"] = Json::UInt64(reply.knowledge_era);
   return kernel::PrintJson(json);
 }
 
@@ -168,7 +176,8 @@
       const Json::Value& item = tables[table];
       if (!item.isObject()) continue;
       TableChanges& changes = reply.tables[table];
-      changes.version = kernel::UintOr(item, "version");
+      changes.as_of.era = kernel::UintOr(item, "era");
+      changes.as_of.version = kernel::UintOr(item, "version");
       changes.all = item["all"].isBool() && item["all"].asBool();
       for (const auto& row : item["rows"]) {
         changes.rows.push_back(RowFrom(table, row));
@@ -187,6 +196,7 @@
   if (trouble.isInt64()) reply.store_trouble_ms_ago = trouble.asInt64();
   const Json::Value& age = json["knowledge_age_ms"];
   if (age.isInt64()) reply.knowledge_age_ms = age.asInt64();
+  reply.knowledge_era = kernel::UintOr(json, "knowledge_era");
   return reply;
 }
 
--- a/src/node/peer_message.h
+++ b/src/node/peer_message.h
@@ -19,6 +19,7 @@
 #include "kernel/time.h"
 #include "ranges/load_map.h"
 #include "ranges/range_table.h"
+#include "replica/row_replica.h"
 #include "store/metadata_store.h"
 
 namespace chervilmux::node {
@@ -43,14 +44,14 @@
 /// "This is what I know": sent every so often.
 struct SyncRequest {
   InstanceRecord sender;
-  std::map<std::string, std::uint64_t> table_versions;
+  std::map<std::string, replica::TableVersion> table_versions;
   std::map<std::string, ViewVersion> view_versions;
   std::map<std::string, std::vector<ranges::BucketCount>> key_load;
 };
 
 struct TableChanges {
   std::vector<store::Row> rows;
-  std::uint64_t version = 0;
+  replica::TableVersion as_of;
   bool all = false;  ///< The rows are the whole table.
 };
 
@@ -62,6 +63,8 @@
   /// How old the sender's knowledge of the store's tables may be; negative:
   /// unknown.
   std::int64_t knowledge_age_ms = -1;
+  /// The era to which that knowledge belongs.
+  std::uint64_t knowledge_era = 0;
   /// Time since the store last failed the sender of this; negative: never.
   std::int64_t store_trouble_ms_ago = -1;
 };
--- a/src/node/table_follower.cc
+++ b/src/node/table_follower.cc
@@ -35,29 +35,60 @@
   this->calling = true;
   this->called_at = now;
   this->call += 1;
+  this->listing = !this->listed || this->copy.Era() < this->newest_era;
   const auto on_reply = [this,
                          number = this->call](const store::RowsReply& reply) {
     if (number != this->call) return;
     this->calling = false;
-    if (this->listed) {
-      this->OnChanges(reply);
-    } else {
-      this->OnList(reply);
-    }
+    this->OnReply(reply);
   };
-  if (this->listed) {
-    this->store.Follow(this->table, this->copy.Version(), this->wait, on_reply);
-  } else {
+  if (this->listing) {
     this->store.List(this->table, on_reply);
+  } else {
+    this->store.Follow(this->table, this->copy.Version(), this->wait, on_reply);
   }
 }
 
 void TableFollower::Renew(Instant now) {
   if (!this->calling || now < this->called_at + kRenewAfter) return;
   observe::LogInfo("store_call_renewed", {{"table", this->table}});
+  this->GiveUpCall();
+  this->next_call = now;
+}
+
+void TableFollower::GiveUpCall() {
   this->call += 1;
   this->calling = false;
-  this->next_call = now;
+}
+
+void TableFollower::NoteEra(std::uint64_t era) {
+  if (era <= this->newest_era) return;
+  this->newest_era = era;
+  if (!this->calling || this->listing || this->copy.Era() >= era) return;
+  this->GiveUpCall();
+  this->next_call = kernel::Now();
+}
+
+void TableFollower::OnReply(const store::RowsReply& reply) {
+  if (reply.era > this->newest_era) {
+    this->newest_era = reply.era;
+    this->events.on_later_era(reply.era);
+  }
+  const bool answered = reply.status == store::StoreStatus::kDone ||
+                        reply.status == store::StoreStatus::kHistoryGone;
+  if (answered && reply.era < this->newest_era) {
+    observe::LogInfo("store_answer_of_earlier_era",
+                     {{"table", this->table},
+                      {"era", std::to_string(reply.era)},
+                      {"newest_era", std::to_string(this->newest_era)}});
+    this->Pause();
+  } else if (this->listing) {
+    this->OnList(reply);
+  } else if (reply.era > this->copy.Era()) {
+    this->next_call = kernel::Now();
+  } else {
+    this->OnChanges(reply);
+  }
 }
 
 void TableFollower::OnList(const store::RowsReply& reply) {
@@ -65,54 +96,93 @@
     this->OnFailure(reply.status);
     return;
   }
+  const replica::TableVersion as_of{reply.era, reply.version};
+  if (as_of < this->copy.AsOf()) {
+    observe::LogInfo("store_listing_older",
+                     {{"table", this->table},
+                      {"version", std::to_string(reply.version)},
+                      {"known", std::to_string(this->copy.Version())}});
+    this->Pause();
+    return;
+  }
   this->listed = true;
+  this->lost = false;
   this->failures = 0;
   this->heard_at = kernel::Now();
   this->next_call = this->heard_at;
-  this->copy.ApplySnapshot(reply.rows, reply.version);
+  this->TakeTable(reply.rows, as_of);
   this->events.on_news();
 }
 
+bool TableFollower::TakeTable(const std::vector<store::Row>& rows,
+                              replica::TableVersion as_of) {
+  const bool restored = this->copy.AsOf() != replica::TableVersion() &&
+                        as_of.era > this->copy.Era();
+  const bool news = this->copy.ApplySnapshot(rows, as_of);
+  if (restored) {
+    observe::LogWarn("store_restored",
+                     {{"table", this->table},
+                      {"era", std::to_string(as_of.era)},
+                      {"version", std::to_string(as_of.version)}});
+  }
+  return news;
+}
+
 void TableFollower::OnChanges(const store::RowsReply& reply) {
   if (reply.status == store::StoreStatus::kHistoryGone) {
     observe::LogInfo("store_history_gone", {{"table", this->table}});
     this->listed = false;
-    this->next_call = kernel::Now();
+    this->next_call = kernel::Now() + kFirstRetry;
     return;
   }
   if (reply.status != store::StoreStatus::kDone) {
     this->OnFailure(reply.status);
     return;
   }
-  if (this->failures > 0) {
+  if (this->lost) {
     observe::LogInfo("store_regained", {{"table", this->table}});
   }
+  this->lost = false;
   this->failures = 0;
   this->heard_at = kernel::Now();
   this->next_call =
       reply.rows.empty() ? this->heard_at : this->heard_at + kGatherTime;
-  if (this->copy.ApplyChanges(reply.rows, reply.version))
+  if (this->copy.ApplyChanges(reply.rows, {reply.era, reply.version}))
     this->events.on_news();
 }
 
 void TableFollower::OnFailure(store::StoreStatus status) {
-  if (this->failures == 0) {
+  if (!this->lost) {
     observe::LogWarn("store_lost",
                      {{"table", this->table},
                       {"status", std::to_string(static_cast<int>(status))}});
   }
+  this->lost = true;
+  this->Pause();
+  this->events.on_store_failed();
+}
+
+void TableFollower::Pause() {
   const unsigned doublings = std::min(this->failures, 4U);
   this->failures += 1;
   this->next_call =
       kernel::Now() +
       std::min<Duration>(kFirstRetry * (1U << doublings), kLongestRetry);
-  this->events.on_store_failed();
 }
 
 void TableFollower::ApplyFromPeer(const TableChanges& changes) {
-  const bool news =
-      changes.all ? this->copy.ApplySnapshot(changes.rows, changes.version)
-                  : this->copy.ApplyChanges(changes.rows, changes.version);
+  const std::uint64_t era = this->copy.Era();
+  const bool news = changes.all
+                        ? this->TakeTable(changes.rows, changes.as_of)
+                        : this->copy.ApplyChanges(changes.rows, changes.as_of);
+  if (this->copy.Era() != era) {
+    // A waiting call asks for changes after a version of the earlier era.
+    this->newest_era = std::max(this->newest_era, this->copy.Era());
+    if (this->calling && !this->listing) {
+      this->GiveUpCall();
+      this->next_call = kernel::Now();
+    }
+  }
   if (news) this->events.on_news();
 }
 
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -1,6 +1,7 @@
 /// \file
 /// Defines how this instance keeps its copy of one store table up to date: one
-/// listing, then a waiting request for changes at all times.
+/// listing, then a waiting request for changes at all times. A later era of the
+/// store begins with a listing again.
 
 #ifndef CHERVILMUX_NODE_TABLE_FOLLOWER_H_
 #define CHERVILMUX_NODE_TABLE_FOLLOWER_H_
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "kernel/task.h"
 #include "kernel/time.h"
@@ -21,6 +23,8 @@
 struct FollowerEvents {
   std::function<void()> on_news;          ///< The copy has changed.
   std::function<void()> on_store_failed;  ///< The store did not answer.
+  /// The store answered in a later era than before.
+  std::function<void(std::uint64_t era)> on_later_era = [](std::uint64_t) {};
 };
 
 class TableFollower {
@@ -42,6 +46,10 @@
   const replica::RowReplica& Copy() const { return this->copy; }
   const std::string& Table() const { return this->table; }
 
+  /// The store has answered in `era`, perhaps about another table: a call that
+  /// waits for changes of an earlier era is given up.
+  void NoteEra(std::uint64_t era);
+
   /// Whether the table was read whole once.
   bool Listed() const { return this->listed; }
 
@@ -49,9 +57,16 @@
   kernel::Instant HeardAt() const { return this->heard_at; }
 
  private:
+  void OnReply(const store::RowsReply& reply);
   void OnList(const store::RowsReply& reply);
   void OnChanges(const store::RowsReply& reply);
   void OnFailure(store::StoreStatus status);
+  void GiveUpCall();
+  /// Puts off the next call, for longer after each failure.
+  void Pause();
+  /// Replaces the copy by a whole table. Returns whether any row changed.
+  bool TakeTable(const std::vector<store::Row>& rows,
+                 replica::TableVersion as_of);
 
   store::MetadataStore& store;
   std::string table;
@@ -60,9 +75,12 @@
   replica::RowReplica copy;
   bool listed = false;
   bool calling = false;
+  bool listing = false;          ///< What the last call asks for.
+  std::uint64_t newest_era = 0;  ///< That the store has answered in.
   std::uint64_t call = 0;  ///< Number of the last one; older ones are given up.
   kernel::Instant called_at = kernel::kNever;
-  unsigned failures = 0;
+  bool lost = false;      ///< The last call failed.
+  unsigned failures = 0;  ///< Calls in a row that brought nothing to use.
   kernel::Instant next_call = kernel::kNever;
   kernel::Instant heard_at = kernel::kNever;
 };
--- a/src/replica/row_replica.cc
+++ b/src/replica/row_replica.cc
@@ -36,37 +36,45 @@
 }
 
 bool RowReplica::ApplyChanges(std::span<const store::Row> changes,
-                              std::uint64_t new_version) {
+                              TableVersion new_version) {
+  if (new_version.era != this->as_of.era) return false;
   bool any_row_changed = false;
   for (const auto& change : changes)
     any_row_changed = this->ApplyRow(change) || any_row_changed;
-  this->version = std::max(this->version, new_version);
+  this->as_of = std::max(this->as_of, new_version);
   if (this->tombstones.size() > kMaxTombstones) {
     this->tombstones.clear();
-    this->history_start = this->version;
+    this->history_start = this->as_of.version;
   }
   return any_row_changed;
 }
 
 bool RowReplica::ApplySnapshot(std::span<const store::Row> snapshot,
-                               std::uint64_t new_version) {
-  if (new_version < this->version) return false;
+                               TableVersion new_version) {
+  if (new_version < this->as_of) return false;
+  const bool later_era = new_version.era > this->as_of.era;
+  if (later_era) {
+    this->rows.clear();
+    this->tombstones.clear();
+    this->as_of = {new_version.era, 0};
+  }
   std::set<std::string_view> listed_keys;
   for (const auto& row : snapshot) listed_keys.insert(row.key);
   std::vector<store::Row> changes(snapshot.begin(), snapshot.end());
   for (const auto& [key, row] : this->rows) {
-    if (listed_keys.contains(key) || row.version > new_version) continue;
+    if (listed_keys.contains(key) || row.version > new_version.version)
+      continue;
     store::Row& change = changes.emplace_back(row);
     change.removed = true;
-    change.version = new_version;
+    change.version = new_version.version;
   }
   // Rows that were created and deleted between two updates have no tombstone.
-  this->history_start = new_version;
-  return this->ApplyChanges(changes, new_version);
+  this->history_start = new_version.version;
+  return this->ApplyChanges(changes, new_version) || later_era;
 }
 
-bool RowReplica::HasHistorySince(std::uint64_t since) const {
-  return since >= this->history_start;
+bool RowReplica::HasHistorySince(TableVersion since) const {
+  return since.era == this->as_of.era && since.version >= this->history_start;
 }
 
 std::vector<store::Row> RowReplica::ChangesAfter(std::uint64_t after) const {
--- a/test/correctness/replica_test.cc
+++ b/test/correctness/replica_test.cc
@@ -41,54 +41,54 @@
   replica::RowReplica replica;
   const std::vector<store::Row> first = {MakeRow("a", "1", 3),
                                          MakeRow("b", "2", 5)};
-  CHECK(replica.ApplySnapshot(first, 6));
+  CHECK(replica.ApplySnapshot(first, {1, 6}));
   SUBCASE("a change is applied once") {
     const std::vector<store::Row> change = {MakeRow("a", "9", 8)};
-    CHECK(replica.ApplyChanges(change, 8));
-    CHECK_FALSE(replica.ApplyChanges(change, 8));
+    CHECK(replica.ApplyChanges(change, {1, 8}));
+    CHECK_FALSE(replica.ApplyChanges(change, {1, 8}));
     CHECK(replica.Rows().at("a").value == "9");
     CHECK(replica.Version() == 8);
   }
   SUBCASE("an older change does not replace a newer row") {
     const std::vector<store::Row> older = {MakeRow("b", "old", 4)};
-    CHECK_FALSE(replica.ApplyChanges(older, 4));
+    CHECK_FALSE(replica.ApplyChanges(older, {1, 4}));
     CHECK(replica.Rows().at("b").value == "2");
     CHECK(replica.Version() == 6);
   }
   SUBCASE("an older change does not bring a deleted row back") {
     const std::vector<store::Row> deletion = {MakeRow("a", "", 9, true)};
     const std::vector<store::Row> older = {MakeRow("a", "1", 3)};
-    CHECK(replica.ApplyChanges(deletion, 9));
-    CHECK_FALSE(replica.ApplyChanges(older, 9));
+    CHECK(replica.ApplyChanges(deletion, {1, 9}));
+    CHECK_FALSE(replica.ApplyChanges(older, {1, 9}));
     CHECK_FALSE(replica.Rows().contains("a"));
   }
   SUBCASE("rows missing from a newer full listing are deleted") {
     const std::vector<store::Row> listing = {MakeRow("b", "2", 5)};
-    CHECK(replica.ApplySnapshot(listing, 10));
+    CHECK(replica.ApplySnapshot(listing, {1, 10}));
     CHECK_FALSE(replica.Rows().contains("a"));
-    CHECK_FALSE(replica.HasHistorySince(6));
-    CHECK(replica.HasHistorySince(10));
+    CHECK_FALSE(replica.HasHistorySince({1, 6}));
+    CHECK(replica.HasHistorySince({1, 10}));
   }
   SUBCASE("an older full listing is ignored") {
-    CHECK_FALSE(replica.ApplySnapshot({}, 2));
+    CHECK_FALSE(replica.ApplySnapshot({}, {1, 2}));
     CHECK(replica.Rows().size() == 2);
   }
   SUBCASE("the number of remembered deletions is limited") {
     for (std::uint64_t i = 10; i < 6000; ++i) {
       const std::vector<store::Row> deletion = {
           MakeRow("r" + std::to_string(i), "", i, true)};
-      replica.ApplyChanges(deletion, i);
+      replica.ApplyChanges(deletion, {1, i});
     }
     CHECK(replica.ChangesAfter(0).size() < 5000);
-    CHECK_FALSE(replica.HasHistorySince(1000));
-    CHECK(replica.HasHistorySince(replica.Version()));
+    CHECK_FALSE(replica.HasHistorySince({1, 1000}));
+    CHECK(replica.HasHistorySince(replica.AsOf()));
   }
   SUBCASE("another replica catches up from the changes it lacks") {
     const std::vector<store::Row> deletion = {MakeRow("a", "", 9, true)};
-    replica.ApplyChanges(deletion, 9);
+    replica.ApplyChanges(deletion, {1, 9});
     replica::RowReplica other;
-    other.ApplySnapshot(first, 6);
-    other.ApplyChanges(replica.ChangesAfter(6), replica.Version());
+    other.ApplySnapshot(first, {1, 6});
+    other.ApplyChanges(replica.ChangesAfter(6), replica.AsOf());
     CHECK(other.Rows() == replica.Rows());
   }
 }
@@ -100,6 +100,55 @@
 }
 }  // namespace store
 
+// Failure: versions of two eras of the store are compared, so that rows that
+// are gone stay, or rows written anew under a version given out before are
+// missed.
+TEST_CASE("a table replica moves to a later era of the store as a whole") {
+  replica::RowReplica replica;
+  const std::vector<store::Row> first = {MakeRow("a", "1", 30),
+                                         MakeRow("lost", "2", 50)};
+  replica.ApplySnapshot(first, {1, 50});
+  const std::vector<store::Row> deletion = {MakeRow("b", "", 55, true)};
+  replica.ApplyChanges(deletion, {1, 55});
+  const std::vector<store::Row> anew = {MakeRow("a", "0", 20),
+                                        MakeRow("b", "3", 40)};
+  SUBCASE("changes of a later era are no table") {
+    const std::vector<store::Row> change = {MakeRow("a", "9", 60)};
+    CHECK_FALSE(replica.ApplyChanges(change, {2, 60}));
+    CHECK(replica.Rows().at("a").value == "1");
+    CHECK(replica.AsOf() == replica::TableVersion{1, 55});
+  }
+  SUBCASE("an empty table of a later era empties the replica") {
+    CHECK(replica.ApplySnapshot({}, {2, 1}));
+    CHECK(replica.Rows().empty());
+  }
+  SUBCASE("a whole table of a later era replaces rows of higher versions") {
+    CHECK(replica.ApplySnapshot(anew, {2, 40}));
+    CHECK(replica.Rows().at("a").value == "0");
+    CHECK(replica.Rows().at("b").value == "3");
+    CHECK_FALSE(replica.Rows().contains("lost"));
+    CHECK(replica.AsOf() == replica::TableVersion{2, 40});
+    CHECK(replica.ChangesAfter(0).size() == 2);
+    SUBCASE("what the earlier era brings late is ignored") {
+      const std::vector<store::Row> late = {MakeRow("a", "late", 70)};
+      CHECK_FALSE(replica.ApplyChanges(late, {1, 70}));
+      CHECK_FALSE(replica.ApplySnapshot(late, {1, 70}));
+      CHECK(replica.Rows().at("a").value == "0");
+      CHECK(replica.AsOf() == replica::TableVersion{2, 40});
+    }
+    SUBCASE("another replica has history only of the same era") {
+      CHECK_FALSE(replica.HasHistorySince({1, 45}));
+      CHECK_FALSE(replica.HasHistorySince({3, 45}));
+      CHECK(replica.HasHistorySince({2, 40}));
+    }
+    SUBCASE("a second restore replaces the table again") {
+      CHECK(replica.ApplySnapshot(first, {3, 35}));
+      CHECK(replica.Rows().at("a").value == "1");
+      CHECK_FALSE(replica.Rows().contains("b"));
+    }
+  }
+}
+
 // Failure: a server that has left stays in use, or servers whose rows expired
 // only because the store was down are all dropped at once.
 TEST_CASE("servers whose rows disappear are dropped at the right time") {
@@ -162,7 +211,7 @@
 TEST_CASE("sync messages keep their content when encoded and decoded") {
   node::SyncRequest request;
   request.sender = {"name \"x\"", 7, "domain", "10.0.0.1:1"};
-  request.table_versions["servers"] = 12;
+  request.table_versions["servers"] = {3, 12};
   request.view_versions["s"] = {3, 4};
   request.key_load["s"] = {{5, 6}, {4095, 1}};
   const auto decoded = node::DecodeSync(node::EncodeSync(request));
@@ -173,20 +222,62 @@
   CHECK(decoded.value().key_load.at("s").size() == 2);
   SUBCASE("a reply keeps row values that contain quotes") {
     node::SyncReply reply;
-    reply.tables["servers"].version = 9;
+    reply.tables["servers"].as_of = {3, 9};
     reply.tables["servers"].all = true;
     reply.tables["servers"].rows = {MakeRow("k", "{\"a\":1}", 9)};
     reply.leads = {"s"};
     reply.knowledge_age_ms = 40;
+    reply.knowledge_era = 3;
     const auto decoded_reply =
         node::DecodeSyncReply(node::EncodeSyncReply(reply));
     REQUIRE(decoded_reply);
     CHECK(decoded_reply.value().tables.at("servers").rows[0].value ==
           "{\"a\":1}");
     CHECK(decoded_reply.value().tables.at("servers").all);
+    CHECK(decoded_reply.value().tables.at("servers").as_of ==
+          reply.tables["servers"].as_of);
+    CHECK(decoded_reply.value().knowledge_era == 3);
     CHECK(decoded_reply.value().leads == reply.leads);
     CHECK(decoded_reply.value().knowledge_age_ms == 40);
   }
+  SUBCASE("messages of builds that know no eras belong to era 0") {
+    const auto older = node::DecodeSync(
+        R"({"sender":{"name":"x","peer_address":"a:1"},"tables":{"servers":12}})");
+    REQUIRE(older);
+    CHECK(older.value().table_versions.at("servers") ==
+          replica::TableVersion{0, 12});
+    const auto older_reply = node::DecodeSyncReply(
+        R"({"knowledge_age_ms":4,"tables":{"servers":{"version":9,"rows":[]}}})");
+    REQUIRE(older_reply);
+    CHECK(older_reply.value().tables.at("servers").as_of ==
+          replica::TableVersion{0, 9});
+    CHECK(older_reply.value().knowledge_era == 0);
+  }
+  SUBCASE("an era that is no number counts as none") {
+    for (const char* era :
+         {"-1", "1.5", "\"7\"", "[7]", "null", "18446744073709551616"}) {
+      CAPTURE(era);
+      const std::string json(era);
+      const auto odd = node::DecodeSync(
+          R"({"sender":{"name":"x","peer_address":"a:1"},"tables":{"t":12},)"
+          R"("eras":{"t":)" +
+          json + "}}");
+      REQUIRE(odd);
+      CHECK(odd.value().table_versions.at("t") == replica::TableVersion{0, 12});
+      CHECK(node::DecodeSync(
+          R"({"sender":{"name":"x","peer_address":"a:1"},"tables":{"t":12},)"
+          R"("eras":)" +
+          json + "}"));
+      std::string reply_text = R"({"knowledge_era":)";
+      reply_text += json + R"(,"tables":{"t":{"version":9,"era":)";
+      reply_text += json + R"(,"rows":[]}}})";
+      const auto odd_reply = node::DecodeSyncReply(reply_text);
+      REQUIRE(odd_reply);
+      CHECK(odd_reply.value().tables.at("t").as_of ==
+            replica::TableVersion{0, 9});
+      CHECK(odd_reply.value().knowledge_era == 0);
+    }
+  }
   SUBCASE("malformed messages are refused") {
     CHECK_FALSE(node::DecodeSync("{}"));
     CHECK_FALSE(node::DecodeSync("\xff"));
--- a/test/correctness/table_follower_test.cc
+++ b/test/correctness/table_follower_test.cc
@@ -1,4 +1,5 @@
-// The copy of a store table while the store's calls fail or hang.
+// The copy of a store table while the store's calls fail or hang, or while the
+// store comes back from an older copy.
 
 #include "node/table_follower.h"
 
@@ -21,6 +22,7 @@
   using Done = std::function<void(store::RowsReply)>;
 
   void List(std::string_view /*table*/, Done done) override {
+    this->listings += 1;
     this->calls.push_back(std::move(done));
   }
   void Follow(std::string_view /*table*/, std::uint64_t /*version*/,
@@ -31,18 +33,30 @@
               std::function<void(store::CommitReply)> /*done*/) override {}
 
   /// Answers call `number` with one row.
-  void Answer(std::size_t number, const std::string& key,
-              std::uint64_t version) {
+  void Answer(std::size_t number, const std::string& key, std::uint64_t version,
+              std::uint64_t era = 0) {
     store::RowsReply reply;
     reply.status = store::StoreStatus::kDone;
     reply.version = version;
+    reply.era = era;
     store::Row& row = reply.rows.emplace_back();
     row.key = key;
     row.version = version;
     this->calls.at(number)(reply);
   }
 
+  /// Answers call `number` without rows.
+  void Answer(std::size_t number, store::StoreStatus status, std::uint64_t era,
+              std::uint64_t version = 0) {
+    store::RowsReply reply;
+    reply.status = status;
+    reply.version = version;
+    reply.era = era;
+    this->calls.at(number)(reply);
+  }
+
   std::vector<Done> calls;
+  std::size_t listings = 0;  ///< Of the calls.
 };
 
 }  // namespace
@@ -80,4 +94,139 @@
   }
 }
 
+namespace {
+
+/// A whole table of one row, as a peer sends it.
+TableChanges WholeTable(const std::string& key, std::uint64_t version,
+                        std::uint64_t era) {
+  TableChanges changes;
+  changes.all = true;
+  changes.as_of = {era, version};
+  store::Row& row = changes.rows.emplace_back();
+  row.key = key;
+  row.version = version;
+  return changes;
+}
+
+}  // namespace
+
+TEST_CASE("a follower whose store comes back from an older copy") {
+  OpenStore store;
+  int news = 0;
+  int failures = 0;
+  TableFollower follower(
+      store, "servers", seconds(5),
+      {[&news] { news += 1; }, [&failures] { failures += 1; }});
+  const Instant start(seconds(100));
+  follower.CheckTime(start);
+  store.Answer(0, "lost", 50, 1);
+  Instant now = kernel::Now() + seconds(1);
+  follower.CheckTime(now);
+  REQUIRE(store.calls.size() == 2);
+  const auto call_again = [&] {
+    now = kernel::Now() + seconds(1);
+    follower.CheckTime(now);
+  };
+
+  const auto list_anew = [&] {
+    CHECK(failures == 0);
+    CHECK_FALSE(follower.Copy().Rows().contains("a"));
+    call_again();
+    REQUIRE(store.calls.size() == 3);
+    CHECK(store.listings == 2);
+    store.Answer(2, "b", 40, 2);
+    CHECK(follower.Copy().Rows().size() == 1);
+    CHECK(follower.Copy().Rows().contains("b"));
+    CHECK(follower.Copy().Version() == 40);
+    CHECK(news == 2);
+  };
+  SUBCASE("it lists anew after changes under versions given out again") {
+    store.Answer(1, "a", 60, 2);
+    list_anew();
+  }
+  SUBCASE("it lists anew after an answer without changes") {
+    store.Answer(1, store::StoreStatus::kDone, 2, 40);
+    list_anew();
+  }
+  SUBCASE("it lists anew after a refusal") {
+    store.Answer(1, store::StoreStatus::kRejected, 2);
+    list_anew();
+  }
+  SUBCASE("it lists anew when the store does not have its version") {
+    store.Answer(1, store::StoreStatus::kHistoryGone, 2);
+    list_anew();
+    SUBCASE("and then follows from the version of the listing") {
+      call_again();
+      store.Answer(3, "c", 41, 2);
+      CHECK(follower.Copy().Rows().contains("c"));
+      CHECK(store.listings == 2);
+    }
+    SUBCASE("and a second time") {
+      call_again();
+      store.Answer(3, store::StoreStatus::kHistoryGone, 3);
+      call_again();
+      store.Answer(4, "d", 30, 3);
+      CHECK(follower.Copy().Rows().contains("d"));
+      CHECK(follower.Copy().Rows().size() == 1);
+    }
+    SUBCASE("and ignores what the earlier era answers late") {
+      call_again();
+      store.Answer(3, "late", 90, 1);
+      CHECK_FALSE(follower.Copy().Rows().contains("late"));
+      CHECK(news == 2);
+      CHECK(failures == 0);
+      // It pauses before the next call.
+      follower.CheckTime(kernel::Now() + milliseconds(50));
+      CHECK(store.calls.size() == 4);
+      call_again();
+      CHECK(store.calls.size() == 5);
+    }
+  }
+  SUBCASE("a listing that is older than the copy is repeated with a pause") {
+    store.Answer(1, store::StoreStatus::kHistoryGone, 1);
+    for (std::size_t call = 2; call < 6; ++call) {
+      call_again();
+      REQUIRE(store.calls.size() == call + 1);
+      store.Answer(call, "old", 40, 1);
+      follower.CheckTime(kernel::Now() + milliseconds(100));
+      CHECK(store.calls.size() == call + 1);
+      CHECK(follower.Copy().Version() == 50);
+    }
+  }
+  SUBCASE("an era that another table has seen ends the waiting call") {
+    follower.NoteEra(2);
+    call_again();
+    REQUIRE(store.calls.size() == 3);
+    CHECK(store.listings == 2);
+    store.Answer(1, "late", 51, 1);
+    CHECK_FALSE(follower.Copy().Rows().contains("late"));
+    SUBCASE("and a listing of the earlier era is not taken") {
+      store.Answer(2, "late", 51, 1);
+      CHECK_FALSE(follower.Copy().Rows().contains("late"));
+      call_again();
+      CHECK(store.listings == 3);
+    }
+  }
+  SUBCASE("a peer's table of the later era replaces the copy") {
+    follower.ApplyFromPeer(WholeTable("b", 40, 2));
+    CHECK(follower.Copy().Rows().size() == 1);
+    CHECK(follower.Copy().Rows().contains("b"));
+    CHECK(news == 2);
+    SUBCASE("so the changes after a version of the earlier era do not fit") {
+      store.Answer(1, "late", 60, 2);
+      CHECK_FALSE(follower.Copy().Rows().contains("late"));
+      CHECK(follower.Copy().Version() == 40);
+      call_again();
+      store.Answer(2, "c", 41, 2);
+      CHECK(follower.Copy().Rows().contains("c"));
+      CHECK(store.listings == 1);
+    }
+    SUBCASE("and a peer's table of the earlier one is ignored") {
+      follower.ApplyFromPeer(WholeTable("late", 70, 1));
+      CHECK_FALSE(follower.Copy().Rows().contains("late"));
+      CHECK(news == 2);
+    }
+  }
+}
+
 }  // namespace chervilmux::node
--- a/test/processes/platform_test.py
+++ b/test/processes/platform_test.py
@@ -303,6 +303,91 @@
         self.assertEqual(self.nodes[1].call()[0], 200)
 
 
+class StoreRestored(World):
+    """The store comes back from an older copy of itself."""
+
+    def setUp(self):
+        super().setUp()
+        for node in self.nodes:
+            eventually(lambda n=node: self.registered_life(n), "it is registered")
+
+    def registered_life(self, node):
+        row = self.store.read("chervilmux-instances", node.name)
+        return row["life"] if row else None
+
+    def configure(self, version, prefix):
+        self.store.put("op", "config", configuration(
+            version, self.resources + [
+                route("r%d" % version, HOST, prefix, "plain")]))
+
+    def served_by_all(self, path):
+        for node in self.nodes:
+            eventually(lambda n=node: n.call(path=path)[0] == 200, path)
+
+    def write_much(self):
+        """Raises the version far above that of earlier copies."""
+        for number in range(500):
+            self.store.put("op", "other", {"number": number})
+
+    def test_routes_added_after_each_of_two_restores_are_served(self):
+        for version in (10, 20):
+            copy = self.store.copy()
+            self.write_much()
+            self.configure(version, "/lost%d/" % version)
+            self.served_by_all("/lost%d/x" % version)
+            self.store.restore(copy)
+            self.configure(version + 5, "/anew%d/" % version)
+            self.served_by_all("/anew%d/x" % version)
+
+    def test_a_configuration_that_the_copy_lacks_stays_in_force(self):
+        copy = self.store.copy()
+        self.configure(10, "/lost/")
+        self.served_by_all("/lost/x")
+        self.store.restore(copy)
+        for node in self.nodes:
+            eventually(lambda n=node: any(
+                line["event"] == "store_restored" and line["table"] == "op"
+                for line in n.log()), "the copy was read")
+            self.assertEqual(node.call(path="/lost/x")[0], 200)
+
+    def test_an_instance_that_the_store_turns_away_learns_it_from_peers(self):
+        copy = self.store.copy()
+        self.write_much()
+        self.configure(5, "/much/")
+        self.served_by_all("/much/x")
+        self.nodes[1].door.fault = "silent"
+        self.store.restore(copy)
+        self.configure(10, "/heard/")
+        self.served_by_all("/heard/x")
+
+    def test_an_instance_that_starts_after_the_restore_tells_the_others(self):
+        copy = self.store.copy()
+        self.write_much()
+        self.configure(5, "/much/")
+        self.served_by_all("/much/x")
+        for node in self.nodes:
+            node.door.fault = "silent"
+        self.store.restore(copy)
+        self.configure(10, "/heard/")
+        self.nodes[1].stop(signal.SIGKILL)
+        self.nodes[1].door.fault = None
+        self.nodes[1].start()
+        self.served_by_all("/heard/x")
+
+    def test_the_store_is_called_little_after_the_restore(self):
+        copy = self.store.copy()
+        self.write_much()
+        start = self.store.calls
+        time.sleep(3)
+        calm = self.store.calls - start
+        self.store.restore(copy)
+        start = self.store.calls
+        time.sleep(3)
+        tables = 4
+        self.assertLess(self.store.calls - start,
+                        2 * calm + 2 * tables * len(self.nodes))
+
+
 class SomeTurnedAway(World):
     nodes_wanted = 4
 
