Servers only move forward when the store comes back from a copy

What servers would see: requests after they had told that they drain, or after they had left, for as long as the row of the older copy stood; a server whose row was lost with the copy was dropped after 0.8 s, though it registers again.

A row that comes when the server was missing from this era's table was written in it, so it brings the server back with what is known of it. Servers in use whose rows the copy lacks are kept for the time in which the store says they are back, 2.3 s; so are draining ones, whose keys are still theirs. Within an era rows are believed as before: they can't be of a copy.

The stand-in's servers number their reports.

--- a/src/model/backend_server.h
+++ b/src/model/backend_server.h
@@ -31,6 +31,8 @@
   bool draining = false;
   /// Incarnation: a different number after each restart under the same id.
   std::uint64_t life = 0;
+  /// Rises with each report of the server about itself within a life.
+  std::uint64_t report_number = 0;
   /// How long the server still answers slowly, because it warms up, after an
   /// instance first receives this record.
   kernel::Duration remaining_warm_up = kernel::seconds(0);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -312,6 +312,9 @@
                         {{"id", id}, {"why", decoded.error().detail}});
     }
   }
+  const std::uint64_t era = this->server_table.Copy().Era();
+  if (era > this->servers_era) this->servers.NoteRestored();
+  this->servers_era = era;
   this->servers.Update(listed, this->servers_true_until, kernel::Now());
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -125,6 +125,7 @@
   std::shared_ptr<const model::Configuration> configuration;
   std::uint64_t bad_configuration_row = 0;
   ServerList servers;
+  std::uint64_t servers_era = 0;  ///< Of the rows behind `servers`.
   std::map<std::string, std::unique_ptr<KeyService>, std::less<>> key_services;
   std::set<std::string, std::less<>> syncing;  ///< Addresses being asked.
   /// Instances that did not take a change of owners, and until when they get
--- a/src/node/server_list.cc
+++ b/src/node/server_list.cc
@@ -1,7 +1,12 @@
 #include "node/server_list.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <set>
+#include <span>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace chervilmux::node {
 namespace {
@@ -19,9 +24,72 @@
 /// After the store's last failure entries that ran out meanwhile are back
 /// within about 2 s.
 constexpr Duration kReturnTime = milliseconds(2300);
+/// Servers that are gone and remembered; copies of the store are some seconds
+/// old.
+constexpr std::size_t kMaxGone = 4096;
+
+/// Orders the reports of a server.
+std::pair<std::uint64_t, std::uint64_t> ReportOrder(
+    const model::BackendServer& server) {
+  return {server.life, server.report_number};
+}
 
 }  // namespace
 
+void ServerList::NoteRestored() {
+  this->restored = true;
+  for (auto& [id, record] : this->known) {
+    record.may_be_old = true;
+    const auto gap = this->missing.find(id);
+    const bool expected = gap != this->missing.end() && gap->second.lost;
+    record.left = !this->listed.contains(id) && !expected;
+  }
+}
+
+ServersById ServerList::WithoutOldReports(const ServersById& rows,
+                                          Instant now) {
+  ServersById current;
+  for (const auto& [id, row] : rows) {
+    const auto [entry, is_new] = this->known.try_emplace(id);
+    Known& record = entry->second;
+    const bool later = is_new || !record.may_be_old ||
+                       ReportOrder(row) > ReportOrder(record.server);
+    if (later) {
+      record = {row, now};
+    } else if (record.left) {
+      continue;
+    } else if (ReportOrder(row) == ReportOrder(record.server)) {
+      const bool draining = record.server.draining || row.draining;
+      record.server = row;
+      record.server.draining = draining;
+    }
+    record.listed_at = now;
+    current[id] = record.server;
+  }
+  return current;
+}
+
+/// Of the servers that are gone, those that were listed last are kept.
+void ServerList::ForgetOldest() {
+  const std::size_t present = this->listed.size() + this->missing.size();
+  if (this->known.size() <= present + kMaxGone) return;
+  std::vector<std::pair<Instant, std::string_view>> gone;
+  for (const auto& [id, record] : this->known) {
+    if (!this->listed.contains(id) && !this->missing.contains(id)) {
+      gone.emplace_back(record.listed_at, id);
+    }
+  }
+  std::ranges::sort(gone);
+  std::set<std::string, std::less<>> forgotten;
+  for (const auto& [listed_at, id] :
+       std::span(gone).first(gone.size() - kMaxGone)) {
+    forgotten.emplace(id);
+  }
+  std::erase_if(this->known, [&forgotten](const auto& entry) {
+    return forgotten.contains(entry.first);
+  });
+}
+
 void ServerList::Update(const ServersById& rows, Instant unchanged_until,
                         Instant now) {
   Missing gap{now, now + kUnannouncedGrace};
@@ -29,13 +97,30 @@
     gap.keep_until = std::min(
         gap.keep_until, unchanged_until + model::kLeavingServerGracePeriod);
   }
+  const ServersById current = this->WithoutOldReports(rows, now);
+  if (this->restored) {
+    gap.lost = true;
+    gap.keep_until = now + kReturnTime;
+  }
   for (const auto& [id, server] : this->in_use) {
-    if (!rows.contains(id)) this->missing.try_emplace(id, gap);
+    if (current.contains(id)) continue;
+    if (gap.lost && !this->known.at(id).left) {
+      this->missing.insert_or_assign(id, gap);
+    } else {
+      this->missing.try_emplace(id, gap);
+    }
   }
-  std::erase_if(this->missing,
-                [&](const auto& entry) { return rows.contains(entry.first); });
-  this->listed = rows;
+  // A row that comes after this was written in this era.
+  for (auto& [id, record] : this->known) {
+    if (!rows.contains(id)) record.left = false;
+  }
+  std::erase_if(this->missing, [&current](const auto& entry) {
+    return current.contains(entry.first);
+  });
+  this->listed = current;
   this->rows_changed = true;
+  this->restored = false;
+  this->ForgetOldest();
 }
 
 void ServerList::NoteStoreTrouble(Instant at) {
@@ -54,6 +139,7 @@
 
 bool ServerList::KeepsMissing(const model::BackendServer& server,
                               const Missing& gap, Instant now) const {
+  if (gap.lost && now < gap.keep_until) return true;
   if (server.draining) return false;
   if (now < gap.keep_until) return true;
   // Only an outage that was under way shortly before explains the gap.
--- a/src/node/server_list.h
+++ b/src/node/server_list.h
@@ -5,6 +5,10 @@
 /// A row that vanishes means that its server has left, or that the server could
 /// not write while the store was away. In the second case it is back shortly
 /// after the store is, so such a server is kept in use for a moment.
+///
+/// What servers reported counts also after the store has come back from an
+/// older copy: until a server reports anew, rows tell nothing that is older
+/// than what is known of it.
 
 #ifndef CHERVILMUX_NODE_SERVER_LIST_H_
 #define CHERVILMUX_NODE_SERVER_LIST_H_
@@ -30,8 +34,14 @@
   /// The store did not answer at `at`, here or at another instance.
   void NoteStoreTrouble(kernel::Instant at);
 
+  /// The store has come back from an older copy, whose rows the next Update()
+  /// brings: they may lack what servers have reported since.
+  void NoteRestored();
+
   /// The servers in use. Returns whether they changed since the last call.
   bool Refresh(kernel::Instant now);
+  /// Servers that are remembered, in use or not.
+  std::size_t Remembered() const { return this->known.size(); }
   const ServersById& InUse() const { return this->in_use; }
 
  private:
@@ -39,17 +49,34 @@
   struct Missing {
     kernel::Instant since;
     kernel::Instant keep_until;  ///< Unless an outage explains it.
+    /// The row was lost when the store came back from an older copy.
+    bool lost = false;
+  };
+
+  /// A server as last reported, also when it is gone.
+  struct Known {
+    model::BackendServer server;
+    kernel::Instant listed_at = kernel::kNever;  ///< The last time.
+    /// Its row may be of an older copy of the store.
+    bool may_be_old = false;
+    /// It had left before the store came back from an older copy, which may
+    /// bring back its row, not the server.
+    bool left = false;
   };
 
+  ServersById WithoutOldReports(const ServersById& rows, kernel::Instant now);
+  void ForgetOldest();
   bool LooksLikeOutage() const;
   bool KeepsMissing(const model::BackendServer& server, const Missing& gap,
                     kernel::Instant now) const;
 
   ServersById listed;
   std::map<std::string, Missing, std::less<>> missing;
+  std::map<std::string, Known, std::less<>> known;
   ServersById in_use;
   kernel::Instant trouble_at = kernel::kNever;
   bool rows_changed = false;  ///< Since the last Refresh().
+  bool restored = false;      ///< Since the last Update().
 };
 
 }  // namespace chervilmux::node
--- a/test/fakes/prepared_platform.py
+++ b/test/fakes/prepared_platform.py
@@ -250,6 +250,7 @@
         self.fences = []  # (first key, last key, fencing token) of all grants
         self.orders = []
         self.born = int(time.time() * 1000)
+        self.reports = 0
         self.lock = threading.Lock()
         backend = self
 
@@ -263,11 +264,13 @@
         self.register()
 
     def register(self, state="ready"):
+        self.reports += 1
         self.store.put("servers", self.name, {
             "address": self.http.address, "born": self.born,
             "info": {"service": self.service, "version": "v1",
                      "zone": self.domain, "capacity": self.slots},
-            "status": {"state": state, "seq": 1, "warmupLeftS": 0}})
+            "status": {"state": state, "seq": self.reports,
+                       "warmupLeftS": 0}})
 
     def leave(self):
         self.store.remove("servers", self.name)
--- a/test/processes/platform_test.py
+++ b/test/processes/platform_test.py
@@ -18,7 +18,7 @@
 sys.path.insert(0, os.path.dirname(__file__))
 from platform_world import (HOST, Node, World, eventually,  # noqa: E402
                             program, use_build)
-from prepared_platform import Store, configuration, route  # noqa: E402
+from prepared_platform import Backend, Store, configuration, route  # noqa: E402
 
 
 class CalmDay(World):
@@ -374,6 +374,39 @@
         self.nodes[1].start()
         self.served_by_all("/heard/x")
 
+    def test_servers_that_left_before_the_restore_get_nothing(self):
+        copy = self.store.copy()
+        self.plain[0].register("draining")
+        self.plain[1].leave()
+        time.sleep(2)
+        self.store.restore(copy)
+        before = [len(server.ran) for server in self.plain[:2]]
+        until = time.monotonic() + 3
+        while time.monotonic() < until:
+            for node in self.nodes:
+                self.assertEqual(node.call()[0], 200)
+            time.sleep(0.05)
+        self.assertEqual([len(server.ran) for server in self.plain[:2]], before)
+        self.plain[1].register()
+        eventually(lambda: self.nodes[0].call() and
+                   len(self.plain[1].ran) > before[1], "it has come back")
+
+    def test_a_server_whose_row_is_lost_stays_in_use_as_it_registers_again(self):
+        copy = self.store.copy()
+        late = Backend(self.store, "plain-late", "plain")
+        self.plain.append(late)
+        eventually(lambda: self.nodes[0].call() and late.ran, "it is used")
+        self.store.restore(copy)
+        time.sleep(1)
+        late.register()
+        for server in self.plain[:3]:
+            server.leave()
+        time.sleep(2)
+        for node in self.nodes:
+            for _ in range(5):
+                status, body, _ = node.call()
+                self.assertEqual((status, body[:10]), (200, b"plain-late"))
+
     def test_the_store_is_called_little_after_the_restore(self):
         copy = self.store.copy()
         self.write_much()
