Instances whose rows the store has lost register again

What callers would see: an instance that had started in the lost span was not in the table of instances any more, or was there with its earlier life and address. The others neither asked it for news nor passed owners on to it, and divided connections and retries by too few.

Cause: an instance registered once, and took its row for lasting; the list of instances was the table as it stood.

Change: once its copy of the table is as new, by era and version, as its own registration, an instance looks for its row there, and writes it again, with the same life, if it is missing or of an earlier life. A refused write is repeated. Others keep what they know of an instance until they read a later life: rows of this table are never removed. The row of a broken configuration is told by era and version, so that a broken row of a later era is logged too; the configuration in force is compared by its own version and never went back.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -214,12 +214,14 @@
   const store::Row& row = found->second;
   auto decoded = this->formats.DecodeConfiguration(row.value);
   if (!decoded) {
-    if (row.version != this->bad_configuration_row) {
+    const replica::TableVersion bad_row{this->configuration_table.Copy().Era(),
+                                        row.version};
+    if (bad_row != this->bad_configuration_row) {
       observe::LogError("configuration_invalid",
                         {{"row_version", std::to_string(row.version)},
                          {"why", decoded.error().detail}});
     }
-    this->bad_configuration_row = row.version;
+    this->bad_configuration_row = bad_row;
     return;
   }
   const bool newer = !this->configuration ||
@@ -337,11 +339,15 @@
 }
 
 void Node::OnInstances() {
-  InstancesByName instances;
+  // Rows are never removed: those that are missing were lost with an earlier
+  // era of the store, and their instances register themselves again.
+  InstancesByName instances = this->readers.Instances();
   for (const auto& [name, row] : this->instances_table.Copy().Rows()) {
     auto decoded = DecodeInstance(row.value);
     if (decoded) {
-      instances[name] = std::move(decoded.value());
+      InstanceRecord& known = instances[name];
+      if (decoded.value().life >= known.life)
+        known = std::move(decoded.value());
     } else {
       observe::LogWarn("instance_row_unusable",
                        {{"name", name}, {"why", decoded.error().detail}});
@@ -365,21 +371,34 @@
   }
 }
 
+bool Node::RegistrationIsLost() {
+  const replica::RowReplica& copy = this->instances_table.Copy();
+  if (this->registration_checked == copy.AsOf()) return false;
+  this->registration_checked = copy.AsOf();
+  if (copy.AsOf() < this->registered_at) return false;
+  const auto row = copy.Rows().find(this->self.name);
+  if (row == copy.Rows().end()) return true;
+  const auto decoded = DecodeInstance(row->second.value);
+  return !decoded || decoded.value().life < this->self.life;
+}
+
 /// Registers this start of the instance, with a life above that of all earlier
-/// ones of its name even if the wall clock went back.
+/// ones of its name even if the wall clock went back. The life stays the same
+/// when the store has lost the row and it is written again.
 void Node::Register() {
   const Instant now = kernel::Now();
   const bool known = this->instances_table.Listed() ||
                      this->instances_table.Copy().Version() > 0;
-  if (this->registered || this->registering || !known ||
-      now < this->next_register) {
-    return;
-  }
+  if (this->registering || !known || now < this->next_register) return;
+  if (this->registered && !this->RegistrationIsLost()) return;
   this->registering = true;
-  const auto earlier = this->readers.Instances().find(this->self.name);
-  const std::uint64_t floor =
-      earlier == this->readers.Instances().end() ? 0 : earlier->second.life + 1;
-  this->self.life = std::max({this->self.life, WallMs(), floor});
+  if (!this->registered) {
+    const auto earlier = this->readers.Instances().find(this->self.name);
+    const std::uint64_t floor = earlier == this->readers.Instances().end()
+                                    ? 0
+                                    : earlier->second.life + 1;
+    this->self.life = std::max({this->self.life, WallMs(), floor});
+  }
   store::Transaction transaction;
   store::Row& row = transaction.writes.emplace_back();
   row.table = std::string(kInstancesTable);
@@ -388,8 +407,10 @@
   this->store.Commit(transaction, [this](const store::CommitReply& reply) {
     this->registering = false;
     this->next_register = kernel::Now() + kRegisterRetry;
-    this->registered = reply.status == store::StoreStatus::kDone;
-    if (!this->registered) return;
+    this->registration_checked.reset();
+    if (reply.status != store::StoreStatus::kDone) return;
+    this->registered = true;
+    this->registered_at = {reply.era, reply.version};
     observe::LogInfo("registered", {{"life", std::to_string(this->self.life)}});
     for (const auto& [name, service] : this->key_services) {
       service->Grantor().EnableLeadership(this->self.life);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -68,6 +68,7 @@
   void NoteLeaders();
   void UpdateKeyServices();
   void Register();
+  bool RegistrationIsLost();
   void OnProofFailed();
   void OnLaterEra(std::uint64_t era);
   void NoteStoreTrouble(kernel::Instant at);
@@ -123,7 +124,7 @@
   TableFollower ranges_table;
 
   std::shared_ptr<const model::Configuration> configuration;
-  std::uint64_t bad_configuration_row = 0;
+  replica::TableVersion bad_configuration_row;
   ServerList servers;
   std::uint64_t servers_era = 0;  ///< Of the rows behind `servers`.
   std::map<std::string, std::unique_ptr<KeyService>, std::less<>> key_services;
@@ -137,6 +138,11 @@
   kernel::Instant next_register = kernel::kNever;
   bool registering = false;
   bool registered = false;
+  /// When this instance registered itself; a copy of the table that is as new
+  /// has its row, or the store has lost it.
+  replica::TableVersion registered_at;
+  /// The copy that was last searched for that row.
+  std::optional<replica::TableVersion> registration_checked;
   /// Until when the servers in use are known to have been the right ones.
   kernel::Instant servers_true_until = kernel::kNever;
   kernel::Instant store_trouble_at = kernel::kNever;
--- a/test/fakes/prepared_platform.py
+++ b/test/fakes/prepared_platform.py
@@ -98,6 +98,7 @@
         self.oldest = 0  # changes up to here are forgotten
         self.era = 1  # rises with each restore()
         self.fault = None
+        self.refuse_writes = False
         self.lose_answers = 0  # this many writes are done and not answered
         self.calls = 0
         self.feed_calls = []  # (time, table) of waiting calls for changes
@@ -181,6 +182,8 @@
 
     def transact(self, handler, _door):
         call = json.loads(handler.body())
+        if self.refuse_writes:
+            return handler.answer(503)
         with self.lock:
             for row in call["expected"]:
                 known = self.rows.get((row["table"], row["key"]), (b"", 0))
--- a/test/processes/platform_test.py
+++ b/test/processes/platform_test.py
@@ -420,6 +420,23 @@
         self.assertLess(self.store.calls - start,
                         2 * calm + 2 * tables * len(self.nodes))
 
+    def test_instances_that_the_copy_lacks_register_again(self):
+        copy = self.store.copy()
+        life = self.registered_life(self.nodes[1])
+        self.nodes[1].stop(signal.SIGKILL)
+        self.nodes[1].start()
+        self.nodes.append(Node(2, self.store, self.folder.name).start())
+        eventually(lambda: self.registered_life(self.nodes[1]) > life, "again")
+        eventually(lambda: self.registered_life(self.nodes[2]), "the third")
+        lives = [self.registered_life(node) for node in self.nodes]
+        self.store.refuse_writes = True
+        self.store.restore(copy)
+        time.sleep(1.5)
+        self.store.refuse_writes = False
+        for node, life in zip(self.nodes, lives):
+            eventually(lambda n=node, wanted=life:
+                       self.registered_life(n) == wanted, "the same life")
+
 
 class SomeTurnedAway(World):
     nodes_wanted = 4
