--- a/src/node/node.h
+++ b/src/node/node.h
@@ -68,7 +68,9 @@
   void NoteLeaders();
   void UpdateKeyServices();
   void Register();
+  bool RegistrationIsLost();
   void OnProofFailed();
+  void OnLaterEra(std::uint64_t era);
   void NoteStoreTrouble(kernel::Instant at);
   void Sync(kernel::Instant now);
   std::set<std::string> SyncTargets(kernel::Instant now);
@@ -123,10 +125,11 @@
   TableFollower ranges_table;
 
   std::shared_ptr<const model::Configuration> configuration;
-  std::uint64_t bad_configuration_row = 0;
+  replica::TableVersion bad_configuration_row;
   ServerList servers;
   /// Ids of the listed rows that name no server; each is logged once.
   std::set<std::string, std::less<>> unusable_rows;
+  std::uint64_t servers_era = 0;  ///< Of the rows behind `servers`.
   std::map<std::string, std::unique_ptr<KeyService>, std::less<>> key_services;
   std::set<std::string, std::less<>> syncing;  ///< Addresses being asked.
   /// Instances that did not take a change of owners, and until when they get
@@ -138,6 +141,11 @@
   kernel::Instant next_register = kernel::kNever;
   bool registering = false;
   bool registered = false;
+  /// When this instance registered itself; a copy of the table that is as new
+  /// has its row, or the store has lost it.
+  replica::TableVersion registered_at;
+  /// The copy that was last searched for that row.
+  std::optional<replica::TableVersion> registration_checked;
   /// Until when the servers in use are known to have been the right ones.
   kernel::Instant servers_true_until = kernel::kNever;
   kernel::Instant store_trouble_at = kernel::kNever;
--- a/test/fakes/prepared_platform.py
+++ b/test/fakes/prepared_platform.py
@@ -46,6 +46,7 @@
 
 class Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    store_era = None  # set where the store answers
 
     def log_message(self, *_args):
         pass
@@ -57,6 +58,8 @@
         self.send_response_only(status)
         for name, value in headers:
             self.send_header(name, value)
+        if self.store_era is not None:
+            self.send_header("Store-Era", str(self.store_era))
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
@@ -93,13 +96,16 @@
         self.changes = []  # (version, table, key, value or None)
         self.version = 0
         self.oldest = 0  # changes up to here are forgotten
+        self.era = 1  # rises with each restore()
         self.fault = None
+        self.refuse_writes = False
         self.lose_answers = 0  # this many writes are done and not answered
         self.calls = 0
         self.feed_calls = []  # (time, table) of waiting calls for changes
 
     def serve(self, handler, door, action):
         self.calls += 1
+        handler.store_era = self.era
         fault = self.fault or door.fault
         if fault == "busy":
             handler.body()
@@ -141,6 +147,19 @@
             self.oldest = self.version
             self.changes = []
 
+    def copy(self):
+        """A copy of the store as it is, for restore()."""
+        with self.lock:
+            return dict(self.rows), list(self.changes), self.version
+
+    def restore(self, copy):
+        """Comes back from `copy`: what was written since is gone."""
+        with self.lock:
+            self.rows, self.changes, self.version = (
+                dict(copy[0]), list(copy[1]), copy[2])
+            self.era += 1
+            self.lock.notify_all()
+
     def _write(self, table, key, value):
         self.rows[(table, key)] = (value, self.version)
         self.changes.append((self.version, table, key, value))
@@ -157,11 +176,14 @@
 
     def _reply(self, handler, status, **fields):
         fields.update(ver=self.version, nowS=time.monotonic())
+        handler.store_era = self.era
         handler.answer(status, json.dumps(fields).encode(),
                        [("Content-Type", "application/json")])
 
     def transact(self, handler, _door):
         call = json.loads(handler.body())
+        if self.refuse_writes:
+            return handler.answer(503)
         with self.lock:
             for row in call["expected"]:
                 known = self.rows.get((row["table"], row["key"]), (b"", 0))
@@ -195,7 +217,7 @@
         until = time.monotonic() + int(query["waitMs"]) / 1000
         with self.lock:
             while True:
-                if after < self.oldest:
+                if after < self.oldest or after > self.version:
                     return self._reply(handler, 410)
                 rows = [self._row(t, k, value, version)
                         for version, t, k, value in self.changes
@@ -231,6 +253,7 @@
         self.fences = []  # (first key, last key, fencing token) of all grants
         self.orders = []
         self.born = int(time.time() * 1000)
+        self.reports = 0
         self.lock = threading.Lock()
         backend = self
 
@@ -244,11 +267,13 @@
         self.register()
 
     def register(self, state="ready"):
+        self.reports += 1
         self.store.put("servers", self.name, {
             "address": self.http.address, "born": self.born,
             "info": {"service": self.service, "version": "v1",
                      "zone": self.domain, "capacity": self.slots},
-            "status": {"state": state, "seq": 1, "warmupLeftS": 0}})
+            "status": {"state": state, "seq": self.reports,
+                       "warmupLeftS": 0}})
 
     def leave(self):
         self.store.remove("servers", self.name)
--- a/test/processes/platform_test.py
+++ b/test/processes/platform_test.py
@@ -18,7 +18,7 @@
 sys.path.insert(0, os.path.dirname(__file__))
 from platform_world import (HOST, Node, World, eventually,  # noqa: E402
                             program, use_build)
-from prepared_platform import Store, configuration, route  # noqa: E402
+from prepared_platform import Backend, Store, configuration, route  # noqa: E402
 
 
 class CalmDay(World):
@@ -303,6 +303,141 @@
         self.assertEqual(self.nodes[1].call()[0], 200)
 
 
+class StoreRestored(World):
+    """The store comes back from an older copy of itself."""
+
+    def setUp(self):
+        super().setUp()
+        for node in self.nodes:
+            eventually(lambda n=node: self.registered_life(n), "it is registered")
+
+    def registered_life(self, node):
+        row = self.store.read("chervilmux-instances", node.name)
+        return row["life"] if row else None
+
+    def configure(self, version, prefix):
+        self.store.put("op", "config", configuration(
+            version, self.resources + [
+                route("r%d" % version, HOST, prefix, "plain")]))
+
+    def served_by_all(self, path):
+        for node in self.nodes:
+            eventually(lambda n=node: n.call(path=path)[0] == 200, path)
+
+    def write_much(self):
+        """Raises the version far above that of earlier copies."""
+        for number in range(500):
+            self.store.put("op", "other", {"number": number})
+
+    def test_routes_added_after_each_of_two_restores_are_served(self):
+        for version in (10, 20):
+            copy = self.store.copy()
+            self.write_much()
+            self.configure(version, "/lost%d/" % version)
+            self.served_by_all("/lost%d/x" % version)
+            self.store.restore(copy)
+            self.configure(version + 5, "/anew%d/" % version)
+            self.served_by_all("/anew%d/x" % version)
+
+    def test_a_configuration_that_the_copy_lacks_stays_in_force(self):
+        copy = self.store.copy()
+        self.configure(10, "/lost/")
+        self.served_by_all("/lost/x")
+        self.store.restore(copy)
+        for node in self.nodes:
+            eventually(lambda n=node: any(
+                line["event"] == "store_restored" and line["table"] == "op"
+                for line in n.log()), "the copy was read")
+            self.assertEqual(node.call(path="/lost/x")[0], 200)
+
+    def test_an_instance_that_the_store_turns_away_learns_it_from_peers(self):
+        copy = self.store.copy()
+        self.write_much()
+        self.configure(5, "/much/")
+        self.served_by_all("/much/x")
+        self.nodes[1].door.fault = "silent"
+        self.store.restore(copy)
+        self.configure(10, "/heard/")
+        self.served_by_all("/heard/x")
+
+    def test_an_instance_that_starts_after_the_restore_tells_the_others(self):
+        copy = self.store.copy()
+        self.write_much()
+        self.configure(5, "/much/")
+        self.served_by_all("/much/x")
+        for node in self.nodes:
+            node.door.fault = "silent"
+        self.store.restore(copy)
+        self.configure(10, "/heard/")
+        self.nodes[1].stop(signal.SIGKILL)
+        self.nodes[1].door.fault = None
+        self.nodes[1].start()
+        self.served_by_all("/heard/x")
+
+    def test_servers_that_left_before_the_restore_get_nothing(self):
+        copy = self.store.copy()
+        self.plain[0].register("draining")
+        self.plain[1].leave()
+        time.sleep(2)
+        self.store.restore(copy)
+        before = [len(server.ran) for server in self.plain[:2]]
+        until = time.monotonic() + 3
+        while time.monotonic() < until:
+            for node in self.nodes:
+                self.assertEqual(node.call()[0], 200)
+            time.sleep(0.05)
+        self.assertEqual([len(server.ran) for server in self.plain[:2]], before)
+        self.plain[1].register()
+        eventually(lambda: self.nodes[0].call() and
+                   len(self.plain[1].ran) > before[1], "it has come back")
+
+    def test_a_server_whose_row_is_lost_stays_in_use_as_it_registers_again(self):
+        copy = self.store.copy()
+        late = Backend(self.store, "plain-late", "plain")
+        self.plain.append(late)
+        eventually(lambda: self.nodes[0].call() and late.ran, "it is used")
+        self.store.restore(copy)
+        time.sleep(1)
+        late.register()
+        for server in self.plain[:3]:
+            server.leave()
+        time.sleep(2)
+        for node in self.nodes:
+            for _ in range(5):
+                status, body, _ = node.call()
+                self.assertEqual((status, body[:10]), (200, b"plain-late"))
+
+    def test_the_store_is_called_little_after_the_restore(self):
+        copy = self.store.copy()
+        self.write_much()
+        start = self.store.calls
+        time.sleep(3)
+        calm = self.store.calls - start
+        self.store.restore(copy)
+        start = self.store.calls
+        time.sleep(3)
+        tables = 4
+        self.assertLess(self.store.calls - start,
+                        2 * calm + 2 * tables * len(self.nodes))
+
+    def test_instances_that_the_copy_lacks_register_again(self):
+        copy = self.store.copy()
+        life = self.registered_life(self.nodes[1])
+        self.nodes[1].stop(signal.SIGKILL)
+        self.nodes[1].start()
+        self.nodes.append(Node(2, self.store, self.folder.name).start())
+        eventually(lambda: self.registered_life(self.nodes[1]) > life, "again")
+        eventually(lambda: self.registered_life(self.nodes[2]), "the third")
+        lives = [self.registered_life(node) for node in self.nodes]
+        self.store.refuse_writes = True
+        self.store.restore(copy)
+        time.sleep(1.5)
+        self.store.refuse_writes = False
+        for node, life in zip(self.nodes, lives):
+            eventually(lambda n=node, wanted=life:
+                       self.registered_life(n) == wanted, "the same life")
+
+
 class SomeTurnedAway(World):
     nodes_wanted = 4
 
