Ownership of keys outlives a store that returns from an older copy

What callers would see: within 0.4 s of the return two servers held the same keys, for up to 4.6 s, and keys were given with a token below the one that another server had them with.

Cause: lease and owners were believed as the copy has them. Versions that were given out again let an old compare-and-set through, terms and fencing tokens were given a second time, and grants whose commits were lost still ran.

Change: terms and tokens hold the era of the store in their high bits, and the rows of lease and owners have a key of their own in each era. The leader that lives through the restore commits its own table in the new era, then asks each owner to renew under the token that it has; one that accepts has not seen the higher token of another leader whose commits are lost, so it still is the owner. It then gets a token of the new era, so that it refuses a late order of such a leader, and only then its release proves that a range is free. All others claim after the lease timeout within the new era and grant nothing until the grants of earlier eras have run out. A table says whether such grants may run ("unsettled"), for a successor. An answer to a write names the write and its era. The copy may list an earlier incarnation of a server: it proves nothing about the keys of the later one.

The assertion on the term in Owners reads the row under its new key and asks for the second term of the era, as before for the second term of all.

--- a/src/node/key_service.cc
+++ b/src/node/key_service.cc
@@ -49,6 +49,13 @@
 
 }  // namespace
 
+std::string RowKey(std::string_view service, std::uint64_t era) {
+  std::string key(service);
+  // A store that tells no era keeps its rows under the plain name.
+  if (era != 0) key += "#" + std::to_string(era);
+  return key;
+}
+
 KeyService::KeyService(const kernel::Registry& registry, std::string name,
                        std::string instance, double stagger,
                        const ranges::GrantorTiming& timing,
@@ -157,15 +164,16 @@
 
 void KeyService::Write(const ranges::GrantorActions::Write& write) {
   store::Transaction transaction;
+  const std::string key = RowKey(this->name, write.era);
   transaction.expected.push_back(
-      MakeRow(kLeasesTable, this->name, "", write.lease_version));
+      MakeRow(kLeasesTable, key, "", write.lease_version));
   transaction.writes.push_back(
-      MakeRow(kLeasesTable, this->name, ranges::EncodeLease(write.lease), 0));
+      MakeRow(kLeasesTable, key, ranges::EncodeLease(write.lease), 0));
   if (write.table) {
     transaction.expected.push_back(
-        MakeRow(kRangesTable, this->name, "", write.table_version));
-    transaction.writes.push_back(MakeRow(kRangesTable, this->name,
-                                         ranges::EncodeTable(*write.table), 0));
+        MakeRow(kRangesTable, key, "", write.table_version));
+    transaction.writes.push_back(
+        MakeRow(kRangesTable, key, ranges::EncodeTable(*write.table), 0));
     const ranges::OwnerShares shares = ranges::SharesOf(*write.table);
     observe::LogInfo("owners_commit",
                      {{"service", this->name},
@@ -176,15 +184,17 @@
                       {"largest_share", std::to_string(shares.largest)},
                       {"last_fence", std::to_string(write.table->last_fence)}});
   }
-  this->store.Commit(transaction, [this](const store::CommitReply& reply) {
-    if (reply.status != store::StoreStatus::kDone) {
-      observe::LogWarn(
-          "owners_write_failed",
-          {{"service", this->name},
-           {"status", std::to_string(static_cast<int>(reply.status))}});
-    }
-    this->grantor.OnWriteReply(reply.status, reply.version, kernel::Now());
-  });
+  this->store.Commit(
+      transaction, [this, id = write.id](const store::CommitReply& reply) {
+        if (reply.status != store::StoreStatus::kDone) {
+          observe::LogWarn(
+              "owners_write_failed",
+              {{"service", this->name},
+               {"status", std::to_string(static_cast<int>(reply.status))}});
+        }
+        this->grantor.OnWriteReply({id, reply.status, reply.version, reply.era},
+                                   kernel::Now());
+      });
 }
 
 void KeyService::Read() {
@@ -204,21 +214,25 @@
 void KeyService::OnRead(const store::RowsReply& leases,
                         const store::RowsReply& tables) {
   const Instant now = kernel::Now();
-  if (tables.status != store::StoreStatus::kDone) {
+  if (tables.status != store::StoreStatus::kDone || tables.era != leases.era) {
     this->grantor.OnReadFailed(now);
     return;
   }
   ranges::GrantorRows rows;
-  const store::Row lease = FindRow(leases, this->name);
-  const store::Row table = FindRow(tables, this->name);
+  rows.era = tables.era;
+  const std::string key = RowKey(this->name, rows.era);
+  const store::Row lease = FindRow(leases, key);
+  const store::Row table = FindRow(tables, key);
   rows.lease_version = lease.version;
   rows.table_version = table.version;
   auto decoded_lease = ranges::DecodeLease(lease.value);
   if (decoded_lease) rows.lease = std::move(decoded_lease.value());
   auto decoded_table = ranges::DecodeTable(table.value);
-  if (decoded_table) {
+  if (table.version == 0) {
+    rows.table = this->TableBeforeEra(tables, rows.era);
+  } else if (decoded_table) {
     rows.table = std::move(decoded_table.value());
-  } else if (table.version != 0) {
+  } else {
     // Without its tokens nothing can be granted safely.
     observe::LogError(
         "owners_unreadable",
@@ -229,4 +243,26 @@
   this->grantor.OnRowsRead(rows, now);
 }
 
+std::optional<ranges::RangeTable> KeyService::TableBeforeEra(
+    const store::RowsReply& tables, std::uint64_t era) const {
+  std::optional<ranges::RangeTable> newest;
+  const auto consider = [&](const ranges::RangeTable& table) {
+    const bool is_newest = !newest || table.IsNewerThan(*newest);
+    if (ranges::EraOfTerm(table.term) < era && is_newest) newest = table;
+  };
+  if (!this->owners.ranges.empty()) consider(this->owners);
+  const std::string prefix = RowKey(this->name, 0) + "#";
+  for (const auto& row : tables.rows) {
+    if (row.key != this->name && !row.key.starts_with(prefix)) continue;
+    const auto table = ranges::DecodeTable(row.value);
+    if (table && table.value().service == this->name) {
+      consider(table.value());
+    } else {
+      observe::LogWarn("owners_unreadable",
+                       {{"service", this->name}, {"row", row.key}});
+    }
+  }
+  return newest;
+}
+
 }  // namespace chervilmux::node
--- a/src/node/key_service.h
+++ b/src/node/key_service.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,10 +24,14 @@
 
 namespace chervilmux::node {
 
-/// Tables of the store that hold owners and leases, by service.
+/// Tables of the store that hold owners and leases, by service and era.
 inline constexpr std::string_view kRangesTable = "chervilmux-ranges";
 inline constexpr std::string_view kLeasesTable = "chervilmux-leases";
 
+/// Key of the rows of `service` in `era`. A write that is performed in a later
+/// era, in which versions are given again, cannot meet a row of that era.
+std::string RowKey(std::string_view service, std::uint64_t era);
+
 struct KeyServiceEvents {
   std::function<void(const ranges::RangeTable&)> on_owners;  ///< New owners.
   /// To all other instances.
@@ -59,6 +64,10 @@
   void Write(const ranges::GrantorActions::Write& write);
   void Read();
   void OnRead(const store::RowsReply& leases, const store::RowsReply& tables);
+  /// The newest table of an era before `era` that the store holds or that was
+  /// heard.
+  std::optional<ranges::RangeTable> TableBeforeEra(
+      const store::RowsReply& tables, std::uint64_t era) const;
   void LogLeadership();
   void LogLapse(const ranges::ExpiryNotice& notice, kernel::Instant now);
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -340,16 +340,16 @@
 }
 
 void Node::OnRanges() {
-  for (const auto& [name, row] : this->ranges_table.Copy().Rows()) {
-    const auto service = this->key_services.find(name);
-    if (service == this->key_services.end()) continue;
+  for (const auto& [key, row] : this->ranges_table.Copy().Rows()) {
     auto decoded = ranges::DecodeTable(row.value);
-    if (decoded) {
-      service->second->OnView(decoded.value(), false);
-    } else {
+    if (!decoded) {
       observe::LogError("owners_unreadable",
-                        {{"service", name}, {"why", decoded.error().detail}});
+                        {{"row", key}, {"why", decoded.error().detail}});
+      continue;
     }
+    const auto service = this->key_services.find(decoded.value().service);
+    if (service == this->key_services.end()) continue;
+    service->second->OnView(decoded.value(), false);
   }
 }
 
--- a/src/ranges/range_grantor.cc
+++ b/src/ranges/range_grantor.cc
@@ -20,6 +20,9 @@
 /// time.
 constexpr Duration kWriteRetryDelay = milliseconds(200);
 
+/// The first era of a store. In a later one missing rows may have been lost.
+constexpr std::uint64_t kFirstEra = 1;
+
 /// Returns a table with one range of all keys and no owner.
 RangeTable EmptyTable(const std::string& service) {
   RangeTable table;
@@ -175,8 +178,15 @@
 }
 
 void RangeGrantor::OnRowsRead(const GrantorRows& rows, Instant now) {
+  if (rows.era < this->era) {
+    // Read before the store lost these rows.
+    this->OnReadFailed(now);
+    return;
+  }
   this->is_reading_rows = false;
   this->next_read_at = now + kReadRetryPeriod;
+  const bool is_first_answer = this->era_seen_since == kernel::kNever;
+  if (is_first_answer || rows.era > this->era) this->EnterEra(rows.era, now);
   if (this->pending_write) {
     this->ResolvePendingWrite(rows, now);
     return;
@@ -188,7 +198,10 @@
     this->lease_seen_since = now;
   }
   const auto& holder = rows.lease.holder;
-  const bool lease_vacant = rows.lease_version == 0 || holder.empty();
+  // A missing lease may be one that the store has lost, whose holder runs.
+  const bool may_be_lost = rows.lease_version == 0 &&
+                           (this->era > kFirstEra || this->MayMissGrants(rows));
+  const bool lease_vacant = holder.empty() && !may_be_lost;
   const bool is_own_lease = holder == this->instance;
   const bool holder_ended =
       this->has_ended && this->has_ended(holder, rows.lease.holder_life);
@@ -200,6 +213,12 @@
 
 Instant RangeGrantor::InheritedExpiry(const GrantorRows& rows,
                                       Instant now) const {
+  if (this->MayMissGrants(rows)) {
+    return std::max(this->EarlierErasExpiry(),
+                    this->LatestExpiry(std::max(
+                        now, this->lease_seen_since +
+                                 this->timing.renew_limit_without_store)));
+  }
   const auto& holder = rows.lease.holder;
   const bool holder_ended =
       holder.empty() || holder == this->instance ||
@@ -215,11 +234,13 @@
 
 void RangeGrantor::Claim(const GrantorRows& rows, Instant now) {
   RangeTable next = rows.table.value_or(EmptyTable(this->service));
-  next.term += 1;
+  next.term = this->NextTerm(next.term);
   next.sequence = 1;
   next.leader = this->instance;
   next.leader_life = this->life;
-  next.last_fence += std::exchange(this->claim_fence_increment, 0);
+  next.last_fence = std::max(next.last_fence, LowestOfEra(this->era)) +
+                    std::exchange(this->claim_fence_increment, 0);
+  next.unsettled = this->MayMissGrants(rows);
   // The owners get new fencing tokens: once an owner has seen its new token, it
   // refuses renewals from the previous leader.
   for (auto& range : next.ranges) {
@@ -228,6 +249,7 @@
   }
   PendingWrite claim;
   claim.is_claim = true;
+  claim.write.era = this->era;
   claim.write.lease = {this->instance, this->life, rows.lease.count + 1};
   claim.write.lease_version = rows.lease_version;
   claim.write.table = std::move(next);
@@ -251,20 +273,39 @@
   }
   this->pending_write->in_flight = true;
   this->pending_write->sent_at = now;
+  this->pending_write->write.id = ++this->last_write_id;
   actions.write = this->pending_write->write;
 }
 
-void RangeGrantor::OnWriteReply(store::StoreStatus status,
-                                std::uint64_t version, Instant now) {
-  if (!this->pending_write || !this->pending_write->in_flight) return;
+void RangeGrantor::OnWriteReply(const GrantorWriteReply& reply, Instant now) {
+  const bool is_awaited = this->pending_write &&
+                          this->pending_write->in_flight &&
+                          reply.id == this->pending_write->write.id;
+  if (reply.era > this->era) {
+    // The pending write is for rows of an earlier era, in which it was not
+    // performed.
+    if (is_awaited && !this->pending_write->was_unanswered) {
+      for (auto& state : this->range_states) state.is_committing = false;
+    }
+    this->EnterEra(reply.era, now);
+    return;
+  }
+  if (!is_awaited) return;
   this->pending_write->in_flight = false;
+  const bool is_earlier = reply.era < this->pending_write->write.era;
+  const auto status = is_earlier && reply.status == store::StoreStatus::kDone
+                          ? store::StoreStatus::kNoAnswer
+                          : reply.status;
   switch (status) {
     case store::StoreStatus::kDone:
-      this->OnPendingWriteDone(version, now);
+      this->OnPendingWriteDone(reply.version, now);
       return;
     case store::StoreStatus::kConflict:
     case store::StoreStatus::kNoAnswer:
       this->pending_write->outcome_unknown = true;
+      this->pending_write->was_unanswered =
+          this->pending_write->was_unanswered ||
+          status == store::StoreStatus::kNoAnswer;
       this->pending_write->retry_at = status == store::StoreStatus::kConflict
                                           ? now
                                           : now + kWriteRetryDelay;
@@ -321,6 +362,10 @@
   }
   if (!done.write.table) return;
   this->table_version = version;
+  if (done.is_continuation) {
+    this->ConfirmOwners(*done.write.table, now);
+    return;
+  }
   if (done.is_claim) {
     this->role = Role::kLeader;
     this->next_plan_at = now;
@@ -329,6 +374,7 @@
     return;
   }
   this->table.last_fence = done.write.table->last_fence;
+  this->table.unsettled = done.write.table->unsettled;
   for (auto& state : this->range_states) {
     if (!state.is_committing) continue;
     const KeyRange committed_range = state.range_to_commit;
@@ -347,7 +393,12 @@
   for (const auto& range : adopted.ranges) {
     RangeState state;
     state.range = range;
-    if (!range.owner.empty()) {
+    if (adopted.unsettled) {
+      state.expires_at = expires_at;
+      state.may_have_moved = true;
+      state.target = range.owner;
+      this->AwaitExpiry(state, kMayBeGranted);
+    } else if (!range.owner.empty()) {
       state.phase = Phase::kOwned;
       state.expires_at = expires_at;
       state.outcome_unknown_until = kernel::kNever;
@@ -369,22 +420,25 @@
 void RangeGrantor::PrepareWrite(Instant now) {
   if (this->pending_write) return;
   PendingWrite next;
+  next.write.era = this->era;
   next.write.lease = {this->instance, this->life, this->lease.count + 1};
   next.write.lease_version = this->lease_version;
   next.write.table_version = this->table_version;
   next.retry_at = now;
-  if (this->is_resigning) {
+  // A successor has to wait for the grants that an unsettled table misses.
+  if (this->is_resigning && !this->table.unsettled) {
     next.write.lease.holder.clear();
     this->pending_write = std::move(next);
     return;
   }
-  bool changed = false;
   RangeTable committed_table = this->table;
+  committed_table.unsettled = this->table.unsettled && !this->IsSettled();
+  bool changed = committed_table.unsettled != this->table.unsettled;
   committed_table.ranges.clear();
   for (auto& state : this->range_states) {
     KeyRange range = state.range;
     const ServerState* target = this->FindServer(state.target);
-    const bool can_assign = this->IsLeaseValid(now) &&
+    const bool can_assign = this->IsLeaseValid(now) && !this->is_resigning &&
                             state.phase == Phase::kFree && target != nullptr &&
                             target->CanReceiveKeys();
     if (can_assign) {
--- a/src/ranges/range_grantor.h
+++ b/src/ranges/range_grantor.h
@@ -12,6 +12,15 @@
 /// lease row of the store. Every change of owners is committed there, under the
 /// lease, before an order is sent. Fencing tokens come from the committed table
 /// and only increase.
+///
+/// When the store returns from an older copy, commits are lost: each era has
+/// rows of its own, and grants that no row shows may run. Only the instance
+/// that led when they were lost knows its own. It commits its table in the new
+/// era and asks each owner to renew under the token that it has: an owner that
+/// accepts has not seen a higher one, so that no other leader, whose commits
+/// are lost as well, has moved the range. Then the owner gets a token of the
+/// new era, which makes it refuse orders of such a leader. Every other
+/// instance waits until all grants of earlier eras have expired.
 
 #ifndef CHERVILMUX_RANGES_RANGE_GRANTOR_H_
 #define CHERVILMUX_RANGES_RANGE_GRANTOR_H_
@@ -137,6 +146,9 @@
   /// Write the lease and, if set, the table, provided that both rows still have
   /// the given versions.
   struct Write {
+    std::uint64_t id = 0;
+    /// Names the rows: those of an earlier era are never written.
+    std::uint64_t era = 0;
     GrantorLease lease;
     std::uint64_t lease_version = 0;
     std::optional<RangeTable> table;
@@ -150,14 +162,25 @@
   std::vector<ExpiryNotice> expiries;
 };
 
-/// Lease row and table row as read; version 0 means that the row is missing.
+/// Lease row and table row of `era`, the era in which the store answered, as
+/// read; version 0 means that the row is missing.
 struct GrantorRows {
+  std::uint64_t era = 0;
   GrantorLease lease;
   std::uint64_t lease_version = 0;
+  /// Without a row of this era the newest known table of an earlier one.
   std::optional<RangeTable> table;
   std::uint64_t table_version = 0;
 };
 
+struct GrantorWriteReply {
+  std::uint64_t id = 0;
+  store::StoreStatus status = store::StoreStatus::kNoAnswer;
+  std::uint64_t version = 0;
+  /// The era in which the store answered; 0 without an answer.
+  std::uint64_t era = 0;
+};
+
 std::string EncodeLease(const GrantorLease& lease);
 /// Errors: kMessageMalformed.
 kernel::Result<GrantorLease> DecodeLease(std::string_view text);
@@ -190,8 +213,7 @@
 
   void OnRowsRead(const GrantorRows& rows, kernel::Instant now);
   void OnReadFailed(kernel::Instant now);
-  void OnWriteReply(store::StoreStatus status, std::uint64_t version,
-                    kernel::Instant now);
+  void OnWriteReply(const GrantorWriteReply& reply, kernel::Instant now);
   void OnOrderReply(const OrderReply& reply, kernel::Instant now);
   void OnLoadReport(std::span<const BucketCount> counts) {
     this->load.Add(counts);
@@ -224,6 +246,8 @@
   std::size_t ExpiringRangeCount() const;
 
  private:
+  static constexpr std::string_view kMayBeGranted =
+      "a grant that the store has lost may run";
   enum class Role : std::uint8_t { kFollower, kLeader };
   enum class Phase : std::uint8_t {
     /// The committed owner has a grant or is about to get one.
@@ -240,8 +264,14 @@
     Phase phase = Phase::kFree;
     /// Planned next owner; may be empty.
     std::string target;
-    /// The owner accepted a grant in this term.
+    /// The owner accepted a grant in this term, in this era of the store.
     bool accepted_grant = false;
+    /// A leader whose commits the store has lost may have granted the range to
+    /// another server. `expires_at` covers its grants.
+    bool may_have_moved = false;
+    /// While `may_have_moved`: the token under which the owner is asked to
+    /// renew; 0 once it has accepted.
+    std::uint64_t earlier_fence = 0;
     /// The owner is new and has not accepted a grant yet.
     bool awaits_first_grant = false;
     /// `range_to_commit` is part of the pending write of the table row.
@@ -270,7 +300,11 @@
     /// The store may have performed the write of the lease row and the table
     /// row: both rows are read again before a retry.
     bool outcome_unknown = false;
+    /// An attempt got no answer, so that it may be performed late.
+    bool was_unanswered = false;
     bool is_claim = false;
+    /// The first write of a leader that has led in an earlier era.
+    bool is_continuation = false;
   };
   struct ServerState {
     model::BackendServer listed;
@@ -301,7 +335,19 @@
   void ResolvePendingWrite(const GrantorRows& rows, kernel::Instant now);
   void OnPendingWriteDone(std::uint64_t version, kernel::Instant now);
   void BecomeFollower(kernel::Instant now);
+  void EnterEra(std::uint64_t later, kernel::Instant now);
+  /// Prepares the commit of the leader's table in the era that has begun.
+  void ContinueInEra(kernel::Instant now);
+  /// Asks all owners to renew, after the commit of `committed`.
+  void ConfirmOwners(const RangeTable& committed, kernel::Instant now);
   void AdoptTable(const RangeTable& adopted, kernel::Instant expires_at);
+  /// The lowest term for a new leader after `earlier`.
+  std::uint64_t NextTerm(std::uint64_t earlier) const;
+  /// Whether servers may hold grants that `rows` do not show.
+  bool MayMissGrants(const GrantorRows& rows) const;
+  /// Returns the latest time at which a grant of an earlier era can expire.
+  kernel::Instant EarlierErasExpiry() const;
+  bool IsSettled() const;
   bool IsLeaseValid(kernel::Instant now) const;
   bool MayRenewGrants(kernel::Instant now) const;
   /// Returns the latest time at which a grant of the leader in `rows`, or of an
@@ -358,6 +404,11 @@
   std::function<double(std::string_view)> capacity_of;
   std::function<bool(std::string_view, std::uint64_t)> has_ended;
 
+  /// The latest era in which the store has answered.
+  std::uint64_t era = 0;
+  kernel::Instant era_seen_since = kernel::kNever;
+  bool has_seen_earlier_era = false;
+
   // State of a follower.
   kernel::Instant last_leader_contact = kernel::kNever;
   kernel::Duration claim_jitter;
@@ -377,6 +428,7 @@
   RangeTable table;
   std::vector<RangeState> range_states;
   std::optional<PendingWrite> pending_write;
+  std::uint64_t last_write_id = 0;
   std::map<std::uint64_t, SentOrder> sent_orders;
   std::uint64_t last_order_id = 0;
   /// Notices, for the log, created since the last Tick(): each reports key
--- a/src/ranges/range_grantor_orders.cc
+++ b/src/ranges/range_grantor_orders.cc
@@ -43,6 +43,7 @@
                                 state.range.last, kernel::kNever, why});
   state.phase = Phase::kFree;
   state.accepted_grant = false;
+  state.may_have_moved = false;
   // The next grant to this owner starts a new count of failures.
   ServerState* owner = this->FindServer(state.range.owner);
   if (owner != nullptr) owner->consecutive_failures = 0;
@@ -59,7 +60,7 @@
 void RangeGrantor::StartRelease(RangeState& state, Instant now) {
   const ServerState* owner = this->FindServer(state.range.owner);
   const bool can_ask_release =
-      owner != nullptr &&
+      owner != nullptr && owner->listed.life == state.range.owner_life &&
       (!owner->gone || now - owner->gone_since < kMaxReleaseDelayAfterGone);
   if (can_ask_release && state.accepted_grant) {
     state.phase = Phase::kReleasing;
@@ -77,17 +78,22 @@
     if (state.phase == Phase::kFree || state.order_id != 0) continue;
     ServerState* owner = this->FindServer(state.range.owner);
     const bool has_new_incarnation =
-        owner != nullptr && owner->listed.life != state.range.owner_life;
-    if (has_new_incarnation) {
+        owner != nullptr && owner->listed.life > state.range.owner_life;
+    if (has_new_incarnation && !state.may_have_moved &&
+        owner->CanReceiveKeys()) {
       // The incarnation that held the keys has ended. A new incarnation at the
       // same address may have accepted a renewal, so the keys go to it first.
       this->MarkFree(state, "a later incarnation of the owner is listed");
-      if (owner->CanReceiveKeys()) state.target = state.range.owner;
+      state.target = state.range.owner;
       continue;
     }
+    // An earlier incarnation is listed by a store that returned from a copy.
+    const bool other_incarnation =
+        owner != nullptr && owner->listed.life != state.range.owner_life;
     const bool grant_expired = now >= state.expires_at;
     if (state.phase == Phase::kOwned) {
       const bool owner_failed = owner == nullptr || owner->gone ||
+                                other_incarnation ||
                                 state.failed_orders >= kMaxFirstGrantFailures;
       if (grant_expired && owner_failed) {
         this->MarkFree(state, kGrantExpired);
@@ -100,7 +106,7 @@
     if (grant_expired) this->MarkFree(state, kGrantExpired);
     const bool release_impossible =
         state.phase == Phase::kReleasing &&
-        (owner == nullptr ||
+        (owner == nullptr || other_incarnation ||
          (owner->gone && now - owner->gone_since >= kMaxReleaseDelayAfterGone));
     if (release_impossible) {
       this->AwaitExpiry(
@@ -189,7 +195,10 @@
 
 bool RangeGrantor::AwaitsMoreServers(Instant now) const {
   // Once a key has been granted, a plan for all keys would only add moves.
-  if (this->table.last_fence != 0) return false;
+  const bool has_owners = std::ranges::any_of(
+      this->range_states,
+      [](const RangeState& state) { return !state.range.owner.empty(); });
+  if (has_owners) return false;
   return now < this->server_added_at + kFirstPlanDelay &&
          now < this->first_server_at + kMaxFirstPlanDelay;
 }
@@ -256,6 +265,7 @@
                                  const RangeState& right) const {
   return right.phase == Phase::kOwned && right.order_id == 0 &&
          right.accepted_grant == left.accepted_grant &&
+         (right.earlier_fence != 0) == (left.earlier_fence != 0) &&
          left.range.owner == right.range.owner &&
          left.range.owner_life == right.range.owner_life &&
          !left.awaits_first_grant && !right.awaits_first_grant;
@@ -307,7 +317,10 @@
   if (from == to) order.handover = this->range_states[from].range.handover;
   for (std::size_t i = from; i <= to; ++i) {
     this->range_states[i].order_id = order.id;
-    order.fence = std::max(order.fence, this->range_states[i].range.fence);
+    const RangeState& state = this->range_states[i];
+    const std::uint64_t fence =
+        state.earlier_fence != 0 ? state.earlier_fence : state.range.fence;
+    order.fence = std::max(order.fence, fence);
   }
   const std::uint64_t owner_life = this->range_states[from].range.owner_life;
   this->sent_orders[order.id] = {order, owner_life, now};
@@ -381,7 +394,16 @@
       // The grant may run from as late as now: the server may have executed the
       // order long after it was sent.
       state.expires_at = std::max(state.expires_at, this->LatestExpiry(now));
+      if (state.earlier_fence != 0) {
+        // Now a token of the new era, which makes the owner refuse the renewals
+        // of a leader that the store has lost.
+        state.earlier_fence = 0;
+        state.failed_orders = 0;
+        state.next_order_at = now;
+        return;
+      }
       state.accepted_grant = true;
+      state.may_have_moved = false;
       state.awaits_first_grant = false;
       state.failed_orders = 0;
       state.range.handover.clear();
--- a/src/ranges/range_table.cc
+++ b/src/ranges/range_table.cc
@@ -211,6 +211,7 @@
   Json::Value json = HeaderToJson(table);
   json["leader_life"] = Json::UInt64(table.leader_life);
   json["last_fence"] = Json::UInt64(table.last_fence);
+  if (table.unsettled) json["unsettled"] = true;
   json["ranges"] = RangesToJson(table.ranges);
   return kernel::PrintJson(json);
 }
@@ -220,6 +221,7 @@
   BOOST_OUTCOME_TRY(json, ParseHeader(text, table));
   table.leader_life = kernel::UintOr(json, "leader_life");
   table.last_fence = kernel::UintOr(json, "last_fence");
+  table.unsettled = json["unsettled"].isBool() && json["unsettled"].asBool();
   BOOST_OUTCOME_TRY(ranges, RangesFromJson(json["ranges"]));
   table.ranges = std::move(ranges);
   if (!CoverAllKeys(table.ranges)) {
--- a/src/ranges/range_table.h
+++ b/src/ranges/range_table.h
@@ -22,6 +22,19 @@
 using Key = std::uint16_t;
 inline constexpr std::uint32_t kKeyCount = 65536;
 
+/// Terms and fencing tokens hold the era of the store in the bits above this
+/// one, so that none that the store has lost is given again. They are JSON
+/// numbers, which are exact in every reader below 2^53: the era must be below
+/// 8192.
+inline constexpr unsigned kEraShift = 40;
+/// The lowest term and fencing token of `era`.
+constexpr std::uint64_t LowestOfEra(std::uint64_t era) {
+  return era << kEraShift;
+}
+constexpr std::uint64_t EraOfTerm(std::uint64_t term) {
+  return term >> kEraShift;
+}
+
 struct KeyRange {
   Key first = 0;
   /// Inclusive.
@@ -52,6 +65,9 @@
   std::uint64_t leader_life = 0;
   /// Highest fencing token issued so far.
   std::uint64_t last_fence = 0;
+  /// Servers may hold keys under grants of an earlier era of the store that
+  /// this table does not show.
+  bool unsettled = false;
   /// Ordered by key, without gaps.
   std::vector<KeyRange> ranges;
 
--- a/test/processes/platform_test.py
+++ b/test/processes/platform_test.py
@@ -237,8 +237,9 @@
         eventually(lambda: 'chervilmux_leads_owners{service="keyed"} 1'
                    in other.get("/metrics"), "another one leads")
         eventually(lambda: other.call(path="/keyed/k", key=100)[0] == 200, "served")
-        table = self.store.read("chervilmux-ranges", "keyed")
-        self.assertGreaterEqual(table["term"], 2)
+        table = self.store.read("chervilmux-ranges",
+                                "keyed#%d" % self.store.era)
+        self.assertGreater(table["term"], self.store.era << 40)
 
     def test_owners_are_learnt_from_the_leader_not_from_the_store(self):
         """Followers would call once for each change; a busy machine may make
@@ -272,6 +273,96 @@
         self.owned(30000)
 
 
+class OwnersRestored(World):
+    """The store returns from a copy that lacks the newest moves of keys."""
+
+    KEYS = range(0, 65536, 256)
+
+    def watch(self):
+        """Notes keys that two servers hold at once, until the test ends."""
+        self.twice = []
+        ended = threading.Event()
+
+        def look():
+            while not ended.wait(0.01):
+                self.twice += [
+                    (key, holders) for key in self.KEYS
+                    if len(holders := [s.name for s in self.keyed
+                                       if s.holds_key(key)]) > 1]
+
+        watcher = threading.Thread(target=look, daemon=True)
+        watcher.start()
+        self.addCleanup(watcher.join)
+        self.addCleanup(ended.set)
+
+    def check_tokens(self):
+        """No token was given to two servers for one key."""
+        self.assertEqual(self.twice[:3], [])
+        for key in self.KEYS:
+            given = [{fence for first, last, fence in list(s.fences)
+                      if first <= key <= last} for s in self.keyed]
+            for i, one in enumerate(given):
+                for other in given[i + 1:]:
+                    self.assertEqual(one & other, set(), key)
+
+    def move_and_copy(self):
+        """Returns a copy of the store from before the last move of keys."""
+        self.owned()
+        self.watch()
+        copy = self.store.copy()
+        owner = next(s for s in self.keyed if s.holds_key(100))
+        owner.register("draining")
+        eventually(lambda: not owner.holds, "its keys moved")
+        self.owned()
+        return copy
+
+    def restore(self, copy):
+        self.store.restore(copy)
+        for server in self.plain + self.keyed:
+            drains = server.keyed and not server.holds
+            server.register("draining" if drains else "ready")
+        self.store.fault = None
+
+    def era_of_grants(self):
+        return max(s.highest for s in self.keyed) >> 40
+
+    def leader(self):
+        return next(n for n in self.nodes
+                    if 'chervilmux_leads_owners{service="keyed"} 1'
+                    in n.get("/metrics"))
+
+    def test_the_leader_goes_on_with_the_owners_that_it_knows(self):
+        copy = self.move_and_copy()
+        holders = [s for s in self.keyed if s.holds]
+        self.store.fault = "busy"
+        time.sleep(1.5)
+        self.restore(copy)
+        end = time.monotonic() + 6  # longer than a grant
+        while time.monotonic() < end:
+            self.assertEqual(self.twice[:3], [])
+            self.assertTrue(any(s.holds_key(100) for s in holders))
+            time.sleep(0.05)
+        self.assertEqual(self.era_of_grants(), self.store.era)
+        self.check_tokens()
+        self.owned()
+
+    def test_a_successor_waits_for_grants_that_the_copy_lacks(self):
+        copy = self.move_and_copy()
+        leader = self.leader()
+        leader.stop(signal.SIGKILL)
+        self.restore(copy)
+        other = next(n for n in self.nodes if n is not leader)
+        until = max(until for s in self.keyed for _, until in s.holds.values())
+        eventually(lambda: self.twice or
+                   self.era_of_grants() == self.store.era,
+                   "keys were granted in the new era")
+        self.assertEqual(self.twice[:3], [])
+        self.assertGreater(time.monotonic(), until)
+        eventually(lambda: other.call(path="/keyed/k", key=100)[0] == 200,
+                   "served")
+        self.check_tokens()
+
+
 class StoreAway(World):
     def test_requests_go_on_while_the_store_is_down(self):
         self.owned()
--- a/test/scenario/range_world.cc
+++ b/test/scenario/range_world.cc
@@ -28,6 +28,9 @@
 void RangeSimulation::StopStore(Duration length) {
   this->impl->store_down_until = this->impl->now + length;
 }
+void RangeSimulation::RestoreStore(Duration age) {
+  this->impl->RestoreStore(age);
+}
 void RangeSimulation::KillInstance(unsigned instance, Duration down) {
   this->impl->KillInstance(instance, down);
 }
--- a/test/scenario/range_world.h
+++ b/test/scenario/range_world.h
@@ -1,9 +1,10 @@
 /// \file
 /// Defines a simulation that drives RangeGrantor under faults. It contains a
 /// store, instances, and backend servers that hold key ranges under grants, and
-/// injects delays, lost messages, partitions, late orders, restarts and slow
-/// clocks, all from one seed. It checks that no two running servers ever hold
-/// the same key and that fencing tokens only rise.
+/// injects delays, lost messages, partitions, late orders, restarts, slow
+/// clocks and a store that returns from an older copy, all from one seed. It
+/// checks that no two running servers ever hold the same key and that fencing
+/// tokens only rise.
 
 #ifndef CHERVILMUX_TEST_SCENARIO_RANGE_WORLD_H_
 #define CHERVILMUX_TEST_SCENARIO_RANGE_WORLD_H_
@@ -31,6 +32,8 @@
   unsigned listed_at_start = ~0U;
   kernel::Duration length = kernel::seconds(60);
   unsigned faults = 12;  ///< Number of random faults.
+  /// Times that the store returns from an older copy of itself.
+  unsigned restores = 0;
   /// Some answers of the store to writes are lost or a second late.
   bool lose_store_answers = true;
   // Each of these disables one protection, to show that the checks then find a
@@ -39,6 +42,8 @@
   bool deliver_abandoned_orders = false;
   /// An order without an answer counts as never sent.
   bool treat_no_answer_as_not_sent = false;
+  /// The store does not tell its era.
+  bool hide_era = false;
   ranges::GrantorTiming timing;
 };
 
@@ -47,6 +52,7 @@
   std::uint64_t grants = 0;
   std::uint64_t moves = 0;
   std::uint64_t takeovers = 0;
+  std::uint64_t restores = 0;
   /// Share of keys that had an owner, averaged over the time from 5 s on.
   double owned_share = 0;
 };
@@ -67,6 +73,8 @@
                      kernel::Duration length);
   void CutStoreLink(unsigned instance, kernel::Duration length);
   void StopStore(kernel::Duration length);
+  /// The store returns from a copy of itself that is `age` old.
+  void RestoreStore(kernel::Duration age);
   void KillInstance(unsigned instance, kernel::Duration down);
   void PauseInstance(unsigned instance, kernel::Duration length);
   void CrashServer(unsigned server, kernel::Duration down);
--- a/test/scenario/range_world_impl.h
+++ b/test/scenario/range_world_impl.h
@@ -59,6 +59,24 @@
   kernel::Instant store_cut_until = kernel::kNever;
   std::map<unsigned, kernel::Instant> server_cut_until;
   std::unique_ptr<ranges::RangeGrantor> grantor;
+  ranges::RangeTable heard;  ///< The newest table that a leader published.
+};
+
+/// Lease row and table row by the era in which they are written.
+using RowsByEra = std::map<std::uint64_t, ranges::GrantorRows>;
+
+/// The store's content after a change.
+struct StoreCopy {
+  kernel::Instant at;
+  RowsByEra rows;
+  std::uint64_t version = 0;
+  std::vector<model::BackendServer> servers;
+};
+
+/// The highest token with which any server took a group of keys.
+struct TakenToken {
+  std::uint64_t fence = 0;
+  unsigned server = 0;
 };
 
 struct Event {
@@ -84,6 +102,8 @@
   using HeldGrant = simulated::HeldGrant;
   using Instance = simulated::Instance;
   using Server = simulated::Server;
+  using StoreCopy = simulated::StoreCopy;
+  using TakenToken = simulated::TakenToken;
 
   explicit Impl(const RangeSimulationOptions& options)
       : options(options), random(options.seed), now(simulated::kStart) {
@@ -103,6 +123,7 @@
   void StartInstance(unsigned index) {
     Instance& instance = this->instances[index];
     instance.up = true;
+    instance.heard = ranges::RangeTable();
     instance.grantor = std::make_unique<ranges::RangeGrantor>(
         "service", instance.name, 0.1 + 0.3 * index, this->options.timing);
     instance.grantor->EnableLeadership(instance.life);
@@ -158,6 +179,20 @@
       const Duration at(static_cast<std::int64_t>(this->RandomBelow(span)));
       this->Schedule(at, [this] { this->ApplyRandomFault(); });
     }
+    for (unsigned i = 0; i < this->options.restores; ++i) {
+      const Duration at(static_cast<std::int64_t>(this->RandomBelow(span)));
+      this->Schedule(at, [this] { this->RestoreAtRandom(); });
+    }
+  }
+
+  /// The store returns from a copy after an outage, in half of the cases beside
+  /// another fault.
+  void RestoreAtRandom() {
+    const Duration away = milliseconds(this->RandomBelow(4000));
+    const Duration age = milliseconds(this->RandomBelow(12000));
+    this->store_down_until = std::max(this->store_down_until, this->now + away);
+    if (this->RandomFraction() < 0.5) this->ApplyRandomFault();
+    this->Schedule(away, [this, away, age] { this->RestoreStore(away + age); });
   }
 
   void ApplyRandomFault() {
@@ -244,9 +279,40 @@
     });
   }
 
+  /// The store loses what it acknowledged within `age`. Each server writes its
+  /// entry again within two seconds.
+  void RestoreStore(Duration age) {
+    const auto older = std::ranges::find_if(
+        this->copies.rbegin(), this->copies.rend(),
+        [this, age](const StoreCopy& c) { return c.at <= this->now - age; });
+    const StoreCopy copy = older == this->copies.rend() ? StoreCopy() : *older;
+    this->rows = copy.rows;
+    this->store_version = copy.version;
+    this->era += 1;
+    this->result.restores += 1;
+    this->restored_list = copy.servers;
+    this->UpdateAllServerLists();
+    const std::uint64_t restore = this->result.restores;
+    this->Schedule(milliseconds(this->RandomBelow(2000)), [this, restore] {
+      if (this->result.restores != restore) return;
+      this->restored_list.reset();
+      this->UpdateAllServerLists();
+    });
+    this->SaveCopy();
+  }
+
+  void SaveCopy() {
+    this->copies.push_back(
+        {this->now, this->rows, this->store_version, this->ServerEntries()});
+  }
+
   // The lists of servers that instances receive.
 
   void UpdateServerList(Instance& instance) {
+    instance.grantor->OnServerList(
+        this->restored_list.value_or(this->ServerEntries()), this->now);
+  }
+  std::vector<model::BackendServer> ServerEntries() const {
     std::vector<model::BackendServer> listed;
     for (const auto& server : this->servers) {
       if (!server.listed) continue;
@@ -258,9 +324,10 @@
       entry.life = server.life;
       entry.draining = server.draining;
     }
-    instance.grantor->OnServerList(listed, this->now);
+    return listed;
   }
   void UpdateAllServerLists() {
+    this->SaveCopy();
     for (auto& instance : this->instances) {
       if (instance.up) this->UpdateServerList(instance);
     }
@@ -321,8 +388,10 @@
       for (auto& other : this->instances) {
         if (&other == &leader || !this->IsRunning(other)) continue;
         if (this->now < other.store_cut_until) continue;
-        other.grantor->OnLeaderContact(leader.grantor->PublishedTable(),
-                                       this->now);
+        const ranges::RangeTable& published = leader.grantor->PublishedTable();
+        if (other.heard.IsNewerThan(published)) continue;
+        other.heard = published;
+        other.grantor->OnLeaderContact(published, this->now);
       }
     }
   }
@@ -356,6 +425,14 @@
 
   void ReadRows(unsigned index);
 
+  /// What the instance reads: the rows of this era, or the newest table of an
+  /// earlier one that the store holds or that it has heard.
+  ranges::GrantorRows RowsAsRead(const Instance& instance) const;
+
+  std::uint64_t EraInAnswers() const {
+    return this->options.hide_era ? 0 : this->era;
+  }
+
   // Orders to servers.
 
   unsigned ServerIndex(const std::string& id) const {
@@ -380,6 +457,11 @@
   void CheckFence(const ranges::RangeOrder& order, unsigned target,
                   std::uint32_t group);
 
+  /// Checks that no other server, also one that has stopped, took this group of
+  /// keys with the same or a higher token.
+  void CheckTakenToken(const ranges::RangeOrder& order, unsigned target,
+                       std::uint32_t group);
+
   /// Checks that each group of keys has at most one holder.
   void CheckHolders();
 
@@ -414,8 +496,15 @@
   std::vector<std::vector<unsigned>> holders_by_group =
       std::vector<std::vector<unsigned>>(simulated::kGroupCount);
   std::vector<Instance> instances;
-  ranges::GrantorRows rows;
+  simulated::RowsByEra rows;
   std::uint64_t store_version = 0;
+  std::uint64_t era = 1;
+  std::vector<StoreCopy> copies;  ///< Oldest first.
+  /// Entries of servers that came back with the copy, until they are written
+  /// again.
+  std::optional<std::vector<model::BackendServer>> restored_list;
+  std::vector<TakenToken> taken_tokens =
+      std::vector<TakenToken>(simulated::kGroupCount);
   Instant store_down_until = kernel::kNever;
   Instant delay_orders_until = kernel::kNever;
   std::vector<ranges::BucketCount> load_per_tick;  ///< Requests by bucket.
--- a/test/scenario/range_world_messages.cc
+++ b/test/scenario/range_world_messages.cc
@@ -14,46 +14,54 @@
   const bool lossy = this->options.lose_store_answers;
   const bool answer_lost = this->RandomFraction() < 0.05 && lossy;
   const bool late = this->RandomFraction() < 0.03 && lossy;
+  // Beside a restore a late write may be performed in the era after its own.
   const Duration delay =
-      late ? Duration(milliseconds(1500)) : this->RandomNetworkDelay();
+      late ? Duration(milliseconds(this->options.restores > 0 ? 3500 : 1500))
+           : this->RandomNetworkDelay();
   const bool reachable = this->StoreReachable(this->instances[index]);
-  auto status =
-      std::make_shared<store::StoreStatus>(store::StoreStatus::kNoAnswer);
-  auto version = std::make_shared<std::uint64_t>(0);
+  auto reply = std::make_shared<ranges::GrantorWriteReply>();
+  reply->id = write.id;
   if (reachable) {
-    this->Schedule(delay, [this, write, status, version] {
-      *status = this->ApplyWrite(write);
-      *version = this->store_version;
+    this->Schedule(delay, [this, write, reply] {
+      reply->status = this->ApplyWrite(write);
+      reply->version = this->store_version;
+      reply->era = this->EraInAnswers();
     });
   }
   const bool answered = reachable && !answer_lost && !late;
   this->Schedule(
       answered ? delay + this->RandomNetworkDelay() : Duration(seconds(1)),
-      [this, index, life, status, version, answered] {
-        this->Deliver(index, life, [=, this] {
-          this->instances[index].grantor->OnWriteReply(
-              answered ? *status : store::StoreStatus::kNoAnswer, *version,
-              this->now);
+      [this, index, life, reply, answered, id = write.id] {
+        ranges::GrantorWriteReply received;
+        received.id = id;
+        if (answered) received = *reply;
+        this->Deliver(index, life, [this, index, received] {
+          this->instances[index].grantor->OnWriteReply(received, this->now);
         });
       });
 }
 
 store::StoreStatus RangeSimulation::Impl::ApplyWrite(
     const ranges::GrantorActions::Write& write) {
-  if (write.lease_version != this->rows.lease_version) {
+  const auto found = this->rows.find(write.era);
+  ranges::GrantorRows changed =
+      found == this->rows.end() ? ranges::GrantorRows() : found->second;
+  if (write.lease_version != changed.lease_version) {
     return store::StoreStatus::kConflict;
   }
-  if (write.table && write.table_version != this->rows.table_version) {
+  if (write.table && write.table_version != changed.table_version) {
     return store::StoreStatus::kConflict;
   }
   this->store_version += 1;
-  this->rows.lease = write.lease;
-  this->rows.lease_version = this->store_version;
+  changed.lease = write.lease;
+  changed.lease_version = this->store_version;
   if (write.table) {
-    this->rows.table = *write.table;
-    this->rows.table_version = this->store_version;
+    changed.table = *write.table;
+    changed.table_version = this->store_version;
     this->result.moves += 1;
   }
+  this->rows[write.era] = std::move(changed);
+  this->SaveCopy();
   return store::StoreStatus::kDone;
 }
 
@@ -62,7 +70,8 @@
   const bool reachable = this->StoreReachable(this->instances[index]);
   this->Schedule(reachable ? this->RandomNetworkDelay() : Duration(seconds(1)),
                  [this, index, life, reachable] {
-                   const ranges::GrantorRows read = this->rows;
+                   const ranges::GrantorRows read =
+                       this->RowsAsRead(this->instances[index]);
                    this->Deliver(index, life, [this, index, read, reachable] {
                      auto& grantor = *this->instances[index].grantor;
                      if (reachable) {
@@ -74,6 +83,25 @@
                  });
 }
 
+ranges::GrantorRows RangeSimulation::Impl::RowsAsRead(
+    const Instance& instance) const {
+  ranges::GrantorRows read;
+  const std::uint64_t era = this->EraInAnswers();
+  const auto current = this->rows.find(era);
+  if (current != this->rows.end()) {
+    read = current->second;
+  } else {
+    const auto consider = [&](const ranges::RangeTable& table) {
+      const bool is_newest = !read.table || table.IsNewerThan(*read.table);
+      if (ranges::EraOfTerm(table.term) < era && is_newest) read.table = table;
+    };
+    if (!instance.heard.ranges.empty()) consider(instance.heard);
+    for (const auto& [key, rows] : this->rows) consider(*rows.table);
+  }
+  read.era = era;
+  return read;
+}
+
 void RangeSimulation::Impl::ScheduleReply(unsigned index, std::uint64_t life,
                                           Duration delay,
                                           ranges::OrderReply reply) {
@@ -162,6 +190,7 @@
       continue;
     }
     this->CheckFence(order, target, i);
+    this->CheckTakenToken(order, target, i);
     server.highest_fences[i] = order.fence;
     const Duration length = std::chrono::duration_cast<Duration>(
         order.grant_duration / server.clock_rate);
@@ -187,10 +216,31 @@
   }
 }
 
+void RangeSimulation::Impl::CheckTakenToken(const ranges::RangeOrder& order,
+                                            unsigned target,
+                                            std::uint32_t group) {
+  TakenToken& taken = this->taken_tokens[group];
+  if (taken.server != target && taken.fence >= order.fence) {
+    this->RecordViolation(
+        group, "is taken with a token that was used or is lower",
+        this->servers[target].id, this->servers[taken.server].id);
+    return;
+  }
+  if (order.fence > taken.fence) taken = {order.fence, target};
+}
+
 void RangeSimulation::Impl::CheckHolders() {
   const bool counted = this->now >= simulated::kStart + seconds(5);
   for (std::uint32_t i = 0; i < simulated::kGroupCount; ++i) {
     auto& holders = this->holders_by_group[i];
+    const bool has_one_holder =
+        holders.size() == 1 && this->servers[holders.front()].up &&
+        this->servers[holders.front()].grants[i].until > this->now;
+    if (has_one_holder) {
+      this->counted_ticks += counted && i == 0 ? 1 : 0;
+      this->owned_group_ticks += counted ? 1 : 0;
+      continue;
+    }
     std::erase_if(holders, [&](unsigned index) {
       const Server& server = this->servers[index];
       return !server.up || server.grants[i].until <= this->now;
