--- a/test/correctness/spreading_test.cc
+++ b/test/correctness/spreading_test.cc
@@ -42,7 +42,7 @@
 TEST_CASE("a configuration of 2,800 routes fits a small instance's link") {
   SyncReply reply;
   TableChanges& changes = reply.tables["op"];
-  changes.version = 7;
+  changes.as_of = {1, 7};
   store::Row& row = changes.rows.emplace_back();
   row.key = "config";
   row.version = 7;
