--- a/test/error/odd_entries_test.cc
+++ b/test/error/odd_entries_test.cc
@@ -238,7 +238,7 @@
   table.ranges = {all_keys};
   node::SyncRequest request;
   request.sender = {"a", 1, "z", "127.0.0.1:80"};
-  request.table_versions["t"] = 4;
+  request.table_versions["t"] = {1, 4};
   request.view_versions["s"] = {1, 2};
   request.key_load["s"] = {{3, 4}};
   node::SyncReply reply;
