--- a/test/fakes/prepared_platform.py
+++ b/test/fakes/prepared_platform.py
@@ -263,10 +263,13 @@
 
     def serve(self, handler):
         body = handler.body()
+        request_id = handler.headers.get("Request-Id", "")
+        echo = [("Request-Id", request_id)] if request_id else []
         target = handler.headers.get("Target-Instance")
         if target is not None and target != self.name:
             self.misdirected += not handler.path.startswith("/-/")
-            return handler.answer(421, headers=[("Instance-Id", self.name)])
+            return handler.answer(421,
+                                  headers=echo + [("Instance-Id", self.name)])
         if handler.path == "/-/grant":
             return self.grant(handler, json.loads(body))
         if handler.path == "/-/release":
@@ -274,9 +277,8 @@
         with self.lock:
             key = handler.headers.get("Shard-Key")
             if self.keyed and not self.holds_key(int(key)):
-                return handler.answer(421, headers=[("Not-Executed", "1")])
-        request_id = handler.headers.get("Request-Id", "")
-        echo = [("Request-Id", request_id)]
+                return handler.answer(
+                    421, headers=echo + [("Not-Executed", "1")])
         self.asked += 1
         if self.fault == "grey" and self.asked % 2 == 1:
             return handler.answer(
