A server that says in an answer that it leaves is draining here at once

Cause: an instance learnt that a server leaves only from the list. Change: the adapter reads the header into AnswerInfo::draining. From the first such answer on, policy/server_notices holds a deadline for that run of the server (id and incarnation), which no list, peer or restored store changes. Without keys nothing more goes there; keys are served until the deadline (kLeavingServerGracePeriod after the answer) and refused as no-owner from then on. What waits in a queue is judged when it is sent; a request for which a connection was being opened is asked about again (kWithheld) and goes elsewhere without use of the budget. Answers that are failures or state "not run" count, 421 does not: another server may have given it. "1" counts among any other values; "0" states nothing; all else is counted, and one in 64 logged. Health answers do not occur: this program asks for none. The leader does not hear of it yet. DrainDeadline() replaces MaxDrainingTime(); its two tests compare the deadline itself, as strictly as the durations before.

--- a/src/backend/server_protocol.cc
+++ b/src/backend/server_protocol.cc
@@ -25,6 +25,7 @@
 ErrorKind KindOf(const net::TransferResult& result) {
   switch (result.end) {
     case TransferEnd::kNotSent:
+    case TransferEnd::kWithheld:
       return ErrorKind::kServerConnect;
     case TransferEnd::kTimedOut:
       return ErrorKind::kServerSilent;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -44,6 +44,9 @@
   ErrorKind refusal = ErrorKind::kNoOwner;
   std::string why;
   Duration retry_after = kNoOwnerRetryAfter;
+  /// What a server said that withholds the request from it; empty when that is
+  /// not the reason.
+  std::string_view withheld_by;
 
   static DispatchDecision SendTo(std::string id) {
     DispatchDecision decision;
@@ -237,19 +240,28 @@
       this->Enqueue(job, state, now);
       return;
     case DispatchDecision::Kind::kRefuse:
-      this->Refuse(job, decision.refusal, decision.why, decision.retry_after);
+      this->Refuse(job, decision);
       return;
   }
 }
 
+void Dispatcher::Refuse(Job& job, const DispatchDecision& decision) {
+  if (!decision.withheld_by.empty())
+    this->CountWithheld(job, decision.withheld_by);
+  this->Refuse(job, decision.refusal, decision.why, decision.retry_after);
+}
+
 Dispatcher::DispatchDecision Dispatcher::FindServer(Job& job,
                                                     ServiceState& state,
                                                     Instant now) {
   if (job.keyed) return this->FindOwner(job, state, now);
   if (state.loads.UsableSlots(now) == 0) {
-    return DispatchDecision::RefuseWith(
+    auto refusal = DispatchDecision::RefuseWith(
         ErrorKind::kServerConnect, "the service has no usable backend server",
         kNotReadyRetryAfter);
+    if (state.loads.NewestNotice(now))
+      refusal.withheld_by = kWithheldByDraining;
+    return refusal;
   }
   // `first` is whether no other request goes first: a new request is not sent
   // before requests that already wait.
@@ -293,11 +305,14 @@
         "the key's owner is no longer a registered server");
   }
   // A draining owner still serves its keys until they have moved.
-  if (state.loads.MaxDrainingTime(range->owner, now) >
-      model::kLeavingServerGracePeriod) {
-    return DispatchDecision::RefuseWith(
+  const auto drain_deadline = state.loads.DrainDeadline(range->owner);
+  if (drain_deadline && now > *drain_deadline) {
+    auto refusal = DispatchDecision::RefuseWith(
         ErrorKind::kNoOwner,
         "the key's owner is draining and its keys have not moved in time");
+    if (state.loads.FindNotice(range->owner, true, now))
+      refusal.withheld_by = kWithheldByDraining;
+    return refusal;
   }
   if (state.loads.IsEjected(range->owner, now)) {
     return DispatchDecision::RefuseWith(
@@ -374,7 +389,7 @@
     if (decision.kind == DispatchDecision::Kind::kSend) {
       this->Send(job, state, decision.server_id, now);
     } else {
-      this->Refuse(job, decision.refusal, decision.why, decision.retry_after);
+      this->Refuse(job, decision);
     }
   }
 }
@@ -390,6 +405,7 @@
   const model::BackendServer& server = *found->second;
   state.loads.OnSent(server_id);
   job.server_id = server_id;
+  job.server_life = server.life;
   job.server_address = server.address;
   job.sent_at = now;
   net::Exchange exchange;
@@ -408,6 +424,10 @@
   exchange.is_wanted = [this, ref = job.ref] {
     return !this->front->HasCallerLeft(ref);
   };
+  exchange.may_send = [this, &state, keyed = job.keyed,
+                       run = policy::ServerRun{server_id, server.life}] {
+    return state.loads.MaySend(run, keyed, kernel::Now());
+  };
   exchange.belongs = [this,
                       id = job.metadata.id](const net::HttpAnswer& answer) {
     return this->wire.MatchesRequest(answer, id);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -126,6 +126,8 @@
             kernel::Instant now);
   void OnTransfer(std::uint64_t job_id, net::TransferResult result);
   void OnAnswer(Job& job, net::HttpAnswer answer, kernel::Instant now);
+  void OnStatements(const Job& job, const AnswerInfo& info,
+                    kernel::Instant now);
   void OnNotRun(Job& job, const AnswerInfo& info, kernel::Instant now);
   void RecordAnswered(const Job& job, unsigned status, kernel::Instant now);
   void OnFailedTransfer(Job& job, const net::TransferResult& result,
@@ -135,10 +137,15 @@
                         kernel::Instant now);
   bool RetryIfAllowed(Job& job, kernel::ErrorKind failure, kernel::Instant now);
   void DispatchQueue(ServiceState& state, kernel::Instant now);
+  void Refuse(Job& job, const DispatchDecision& decision);
   void Refuse(Job& job, kernel::ErrorKind kind, std::string_view why,
               kernel::Duration expected_wait);
   void Finish(Job& job, net::HttpAnswer answer);
   void RemoveJob(Job& job);
+  void CountWithheld(const Job& job, std::string_view reason);
+  /// The answer by which the servers that could serve `job` get no requests.
+  std::optional<policy::NoticeSource> StoppedBy(const Job& job,
+                                                const std::string& owner) const;
   void LogRefusal(const Job& job, const kernel::Error& error) const;
   void LogEjection(const Job& job, policy::AttemptOutcome cause) const;
   double RandomUnit();
--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -29,6 +29,8 @@
 constexpr unsigned kMaxFailedConnects = 3;
 /// One of this many requests answered without a server error is logged.
 constexpr std::uint64_t kAnsweredLogSample = 64;
+/// One of this many statements of servers that cannot be read is logged.
+constexpr std::uint64_t kUnreadableLogSample = 64;
 
 /// Metric labels for requests of `service` that ended with `outcome`.
 std::string OutcomeLabels(std::string_view service, std::string_view outcome) {
@@ -63,6 +65,9 @@
     this->DispatchQueue(this->GetOrCreateServiceState(service), now);
     return;
   }
+  if (result.end == net::TransferEnd::kWithheld) {
+    this->CountWithheld(job, kWithheldByDraining);
+  }
   if (result.possibly_sent) {
     job.tried_servers.push_back(job.server_id);
   }
@@ -96,8 +101,48 @@
                      std::to_string(this->links.OpenTo(job.server_address))}});
 }
 
+void Dispatcher::CountWithheld(const Job& job, std::string_view reason) {
+  this->metrics
+      .Count("chervilmux_withheld_total",
+             observe::Label("service", job.service) + "," +
+                 observe::Label("reason", reason))
+      .Add();
+}
+
+/// Takes in what a server says about itself, whether its answer is of use or
+/// not.
+void Dispatcher::OnStatements(const Job& job, const AnswerInfo& info,
+                              Instant now) {
+  const std::string service = observe::Label("service", job.service);
+  if (!info.unreadable.empty()) {
+    auto& unreadable = this->metrics.Count(
+        "chervilmux_server_statements_unreadable_total", service);
+    if (unreadable.Value() % kUnreadableLogSample == 0) {
+      observe::LogWarn("server_statement_unreadable",
+                       {{"request", job.metadata.id},
+                        {"service", job.service},
+                        {"server", job.server_id},
+                        {"statement", info.unreadable}});
+    }
+    unreadable.Add();
+  }
+  ServiceState& state = this->GetOrCreateServiceState(job.service);
+  const bool is_first =
+      info.draining && state.loads.OnDraining({job.server_id, job.server_life},
+                                              job.metadata.id, now);
+  if (!is_first) return;
+  this->metrics.Count("chervilmux_draining_notices_total", service).Add();
+  observe::LogWarn("server_draining",
+                   {{"request", job.metadata.id},
+                    {"service", job.service},
+                    {"server", job.server_id},
+                    {"life", std::to_string(job.server_life)},
+                    {"sent_ms_ago", FormatMs(now - job.sent_at)}});
+}
+
 void Dispatcher::OnAnswer(Job& job, net::HttpAnswer answer, Instant now) {
   const AnswerInfo info = this->wire.ClassifyAnswer(answer);
+  this->OnStatements(job, info, now);
   if (info.not_run) {
     this->OnNotRun(job, info, now);
     return;
@@ -186,6 +231,10 @@
   ErrorKind kind = ErrorKind::kServerBroken;
   AttemptOutcome end = AttemptOutcome::kBroken;
   switch (result.end) {
+    case TransferEnd::kWithheld:
+      kind = ErrorKind::kServerConnect;
+      end = AttemptOutcome::kInconclusive;
+      break;
     case TransferEnd::kNotSent:
       kind = ErrorKind::kServerConnect;
       end = AttemptOutcome::kUnreachable;
@@ -278,6 +327,16 @@
                this->wire.MakeRefusal(error, retry_after, job.metadata.id));
 }
 
+std::optional<policy::NoticeSource> Dispatcher::StoppedBy(
+    const Job& job, const std::string& owner) const {
+  const auto state = this->services.find(job.service);
+  if (state == this->services.end()) return std::nullopt;
+  const policy::ServerLoads& loads = state->second->loads;
+  const Instant now = kernel::Now();
+  if (job.keyed) return loads.FindNotice(owner, true, now);
+  return loads.UsableSlots(now) == 0 ? loads.NewestNotice(now) : std::nullopt;
+}
+
 void Dispatcher::LogRefusal(const Job& job, const kernel::Error& error) const {
   const Instant now = kernel::Now();
   const std::string version =
@@ -296,6 +355,7 @@
     if (range != nullptr) owner = range->owner;
     owner_load = state->second->loads.EstimateLoad(owner, now);
   }
+  const auto stopped_by = this->StoppedBy(job, owner);
   const bool has_report = owner_load && owner_load->report_age;
   observe::LogWarn(
       "refused",
@@ -312,6 +372,9 @@
         owner_load ? std::to_string(owner_load->in_flight) : ""},
        {"owner_report_age_ms",
         has_report ? FormatMs(*owner_load->report_age) : ""},
+       {"stopped_by", stopped_by ? stopped_by->request_id : ""},
+       {"stopped_ms_ago",
+        stopped_by ? FormatMs(now - stopped_by->received_at) : ""},
        {"config_version", version},
        {"left_ms", FormatMs(job.deadline - now)},
        {"held_ms", FormatMs(now - job.arrived_at)},
--- a/src/dispatch/dispatcher_state.h
+++ b/src/dispatch/dispatcher_state.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "dispatch/dispatcher.h"
@@ -20,6 +21,9 @@
 inline constexpr kernel::Duration kNotReadyRetryAfter =
     kernel::milliseconds(250);
 
+/// Label of requests withheld from a server because it said that it drains.
+inline constexpr std::string_view kWithheldByDraining = "draining";
+
 struct Dispatcher::ServiceState {
   explicit ServiceState(const std::string& failure_domain)
       : loads(failure_domain), budget(0, 0) {}
@@ -59,6 +63,7 @@
   bool is_waiting = false;
   std::optional<net::TransferId> transfer;
   std::string server_id;
+  std::uint64_t server_life = 0;
   /// Fencing token of the owner that was last chosen for the key.
   std::uint64_t owner_fence = 0;
   net::Address server_address;
--- a/src/dispatch/wire.h
+++ b/src/dispatch/wire.h
@@ -37,6 +37,11 @@
   /// the server does not state that.
   bool status_implies_not_run = false;
   bool signed_by_server = false;  ///< Has the server's signature header.
+  /// The server states that it is about to leave.
+  bool draining = false;
+  /// A statement of the server that cannot be read, as it was sent; empty when
+  /// there is none.
+  std::string unreadable;
   std::optional<policy::ReportedLoad> load;
 };
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -31,6 +31,7 @@
   kTruncated,  ///< The answer began but is not whole.
   kTooLarge,   ///< The answer exceeds the limit.
   kCancelled,  ///< Cancel() was called, or the request is no longer wanted.
+  kWithheld,   ///< Not sent, because it must no longer go to this server.
 };
 
 struct TransferResult {
--- a/src/net/server_links.cc
+++ b/src/net/server_links.cc
@@ -256,6 +256,10 @@
       this->Fail(TransferEnd::kCancelled);
       return false;
     }
+    if (this->exchange->may_send && !this->exchange->may_send()) {
+      this->Fail(TransferEnd::kWithheld);
+      return false;
+    }
     return true;
   }
 
@@ -340,8 +344,9 @@
     this->ResetOnClose();
     TransferResult result;
     result.possibly_sent = this->sent_bytes > 0;
-    const bool is_exact =
-        result.possibly_sent || end == TransferEnd::kCancelled;
+    const bool is_exact = result.possibly_sent ||
+                          end == TransferEnd::kCancelled ||
+                          end == TransferEnd::kWithheld;
     result.end = is_exact ? end : TransferEnd::kNotSent;
     result.reused_connection = this->reused;
     result.connected = !this->connecting;
--- a/src/net/server_links.h
+++ b/src/net/server_links.h
@@ -40,6 +40,9 @@
   /// Asked once a new connection is open, before the request is sent: whether
   /// its caller still waits. Otherwise the transfer ends as kCancelled.
   std::function<bool()> is_wanted;
+  /// Asked likewise: whether the request may still go to this server. Otherwise
+  /// the transfer ends as kWithheld.
+  std::function<bool()> may_send;
   /// Whether an answer belongs to this request; others are thrown away.
   std::function<bool(const HttpAnswer&)> belongs;
   TransferDone done;
--- a/src/policy/server_loads.cc
+++ b/src/policy/server_loads.cc
@@ -87,6 +87,7 @@
     server.listed = entry;
   }
   this->servers = std::move(next);
+  this->notices.Update(listed, now);
 }
 
 double ServerLoads::ReportWeight(const Server& server, Instant now) const {
@@ -203,20 +204,70 @@
   return found != this->servers.end() && now < found->second.ejected_until;
 }
 
-Duration ServerLoads::MaxDrainingTime(std::string_view id, Instant now) const {
+const DrainNotice* ServerLoads::FindDraining(const Server& server) const {
+  return this->notices.FindDraining(server.listed.id, server.listed.life);
+}
+
+bool ServerLoads::IsDraining(const Server& server) const {
+  return server.listed.draining || this->FindDraining(server) != nullptr;
+}
+
+std::optional<Instant> ServerLoads::DrainDeadline(std::string_view id) const {
   const auto found = this->servers.find(id);
-  if (found == this->servers.end() || !found->second.listed.draining) {
-    return Duration(0);
+  if (found == this->servers.end()) return std::nullopt;
+  const Server& server = found->second;
+  std::optional<Instant> deadline;
+  if (server.listed.draining) {
+    deadline = server.draining_since == kernel::kNever
+                   ? kernel::kNever
+                   : server.draining_since + model::kLeavingServerGracePeriod;
+  }
+  const DrainNotice* notice = this->FindDraining(server);
+  if (notice != nullptr) {
+    deadline = std::min(deadline.value_or(Instant::max()), notice->deadline);
+  }
+  return deadline;
+}
+
+bool ServerLoads::OnDraining(const ServerRun& server,
+                             std::string_view request_id, Instant now) {
+  return this->notices.OnDraining(server, request_id, now);
+}
+
+bool ServerLoads::MaySend(const ServerRun& server, bool is_owner,
+                          Instant now) const {
+  const DrainNotice* notice =
+      this->notices.FindDraining(server.id, server.life);
+  return notice == nullptr || (is_owner && now <= notice->deadline);
+}
+
+std::optional<NoticeSource> ServerLoads::FindNotice(std::string_view id,
+                                                    bool is_owner,
+                                                    Instant now) const {
+  const auto found = this->servers.find(id);
+  if (found == this->servers.end()) return std::nullopt;
+  const DrainNotice* notice = this->FindDraining(found->second);
+  if (notice == nullptr || (is_owner && now <= notice->deadline))
+    return std::nullopt;
+  return notice->source;
+}
+
+std::optional<NoticeSource> ServerLoads::NewestNotice(Instant now) const {
+  std::optional<NoticeSource> newest;
+  for (const auto& [id, server] : this->servers) {
+    auto source = this->FindNotice(id, false, now);
+    const bool is_newer =
+        source && (!newest || source->received_at > newest->received_at);
+    if (is_newer) newest = std::move(source);
   }
-  const Instant since = found->second.draining_since;
-  return since == kernel::kNever ? Duration::max() : now - since;
+  return newest;
 }
 
 ServerLoads::UsableServerIds ServerLoads::UsableServers(
     std::span<const std::string> tried_servers, Instant now) const {
   UsableServerIds usable_servers;
   for (const auto& [id, server] : this->servers) {
-    if (server.listed.draining || now < server.ejected_until) continue;
+    if (this->IsDraining(server) || now < server.ejected_until) continue;
     if (std::ranges::find(tried_servers, id) != tried_servers.end()) continue;
     if (!this->HasCapacity(server, now)) continue;
     const bool is_local =
@@ -385,7 +436,7 @@
     view.id = id;
     view.address = server.listed.address;
     view.failure_domain = server.listed.failure_domain;
-    view.draining = server.listed.draining;
+    view.draining = this->IsDraining(server);
     if (now < server.ejected_until) {
       view.ejected_for = server.ejected_until - now;
     }
@@ -400,7 +451,7 @@
   unsigned slots = 0;
   for (const auto& [id, server] : this->servers) {
     const bool is_usable =
-        !server.listed.draining && now >= server.ejected_until;
+        !this->IsDraining(server) && now >= server.ejected_until;
     if (is_usable) slots += server.listed.slots;
   }
   return slots;
--- a/src/policy/server_loads.h
+++ b/src/policy/server_loads.h
@@ -22,6 +22,7 @@
 #include "kernel/time.h"
 #include "model/backend_server.h"
 #include "net/address.h"
+#include "policy/server_notices.h"
 
 namespace chervilmux::policy {
 
@@ -158,10 +159,30 @@
   /// Whether `id` is ejected after failures.
   bool IsEjected(std::string_view id, kernel::Instant now) const;
 
-  /// The longest time for which `id` may have been draining; zero when it is
-  /// not draining.
-  kernel::Duration MaxDrainingTime(std::string_view id,
-                                   kernel::Instant now) const;
+  /// The time after which `id` gets no requests at all because it drains: by
+  /// the list or by its own notice, whichever is earlier. Empty when it does
+  /// not drain; kNever when it may have drained for any time.
+  std::optional<kernel::Instant> DrainDeadline(std::string_view id) const;
+
+  /// Records that an answer of `server` stated that it drains. Returns whether
+  /// it was the first such answer.
+  bool OnDraining(const ServerRun& server, std::string_view request_id,
+                  kernel::Instant now);
+
+  /// Whether a request that was chosen to go to `server` may still be sent, by
+  /// the notices that arrived since. `is_owner`: the request has a key, which
+  /// no other server owns.
+  bool MaySend(const ServerRun& server, bool is_owner,
+               kernel::Instant now) const;
+
+  /// The answer by which `id` gets no requests now; empty when there is none.
+  /// `is_owner` as in MaySend().
+  std::optional<NoticeSource> FindNotice(std::string_view id, bool is_owner,
+                                         kernel::Instant now) const;
+  /// The newest answer by which any server gets no requests without a key.
+  std::optional<NoticeSource> NewestNotice(kernel::Instant now) const;
+  /// Servers that are known to drain by their own notice.
+  std::size_t DrainingNotices() const { return this->notices.DrainingCount(); }
 
   /// Records that this instance sent a request to `id`.
   void OnSent(std::string_view id);
@@ -236,6 +257,8 @@
                                 kernel::Instant now) const;
   std::string MinCostServer(std::span<const std::string> ids,
                             kernel::Instant now) const;
+  const DrainNotice* FindDraining(const Server& server) const;
+  bool IsDraining(const Server& server) const;
   double EstimatedLoad(const Server& server, kernel::Instant now) const;
   double AgedServiceTime(const Server& server, kernel::Instant now) const;
   double ServiceTime(const Server& server, kernel::Instant now) const;
@@ -258,6 +281,7 @@
   std::string own_failure_domain;
   ServerLoadsTuning tuning;
   std::map<std::string, Server, std::less<>> servers;
+  ServerNotices notices;
   double mean_service_time_s = 0;  ///< Over all servers.
   /// Mean of `other_instances_load` per slot, over all servers.
   double mean_other_load_per_slot = 0;
--- a/test/correctness/data_path_test.cc
+++ b/test/correctness/data_path_test.cc
@@ -185,6 +185,7 @@
       exchange.may_repeat = may_repeat;
       exchange.max_idle = this->max_idle;
       exchange.is_wanted = [this] { return this->is_wanted; };
+      exchange.may_send = [this] { return this->may_send; };
       exchange.belongs = [id](const HttpAnswer& answer) {
         return FindHeader(answer.headers, "Id") == id;
       };
@@ -221,6 +222,7 @@
   TransferId last = 0;
   std::size_t max_idle = 100;
   bool is_wanted = true;
+  bool may_send = true;
 };
 
 /// The test's end of one connection to a server.
@@ -666,6 +668,19 @@
   CHECK(server.NextError() == ECONNRESET);
 }
 
+// Failure: a request is sent on a new connection although its server has said,
+// while the connection was opened, that it wants no more.
+TEST_CASE("a request is withheld from a server that wants no more by then") {
+  fakes::LoopbackListener listener;
+  Links links;
+  links.may_send = false;
+  const auto result = links.Start(listener.address, "a", true).get();
+  CHECK(result.end == TransferEnd::kWithheld);
+  CHECK_FALSE(result.possibly_sent);
+  ServerEnd server(listener);
+  CHECK(server.NextError() == ECONNRESET);
+}
+
 TEST_CASE("a server that does not listen was not asked") {
   fakes::LoopbackListener listener;
   const Address address = listener.address;
--- a/test/correctness/server_loads_test.cc
+++ b/test/correctness/server_loads_test.cc
@@ -143,19 +143,19 @@
     service.now += milliseconds(1500);
     service.servers[0].draining = true;
     service.loads.Update(service.servers, last_not_draining, service.now);
-    CHECK(service.loads.MaxDrainingTime("n1", service.now) ==
-          milliseconds(1500));
+    const Instant deadline =
+        last_not_draining + model::kLeavingServerGracePeriod;
+    CHECK(service.loads.DrainDeadline("n1") == deadline);
     service.now += milliseconds(100);
     service.loads.Update(service.servers, service.now, service.now);
-    CHECK(service.loads.MaxDrainingTime("n1", service.now) ==
-          milliseconds(1600));
+    CHECK(service.loads.DrainDeadline("n1") == deadline);
   }
   SUBCASE("a server first seen while draining counts as draining for long") {
     service.servers[0].draining = true;
     ServerLoads started("near");
     started.Update(service.servers, kernel::kNever, service.now);
-    CHECK(started.MaxDrainingTime("n1", service.now) > seconds(1000));
-    CHECK(started.MaxDrainingTime("n2", service.now) == Duration(0));
+    CHECK(started.DrainDeadline("n1") == kernel::kNever);
+    CHECK_FALSE(started.DrainDeadline("n2"));
   }
   SUBCASE("no server is chosen when all are full") {
     for (const auto& server : service.servers) {
--- a/test/fakes/prepared_platform.py
+++ b/test/fakes/prepared_platform.py
@@ -215,13 +215,15 @@
 
     `fault` is None or one of "shed", "grey" (each second request is refused, though
     it tells that its slots are free), "error", "truncate", "late" (the answer to
-    the request before comes first), "silent" and "unsigned".
+    the request before comes first), "silent" and "unsigned". `leaving`, unless
+    None, is what each of its answers tells in Server-Leaving.
     """
 
     def __init__(self, store, name, service, domain="a", slots=6, keyed=False):
         self.store, self.name, self.service = store, name, service
         self.domain, self.slots, self.keyed = domain, slots, keyed
         self.fault = None
+        self.leaving = None
         self.work_s = 0.0
         self.asked = 0
         self.misdirected = 0  # requests that were meant for another server
@@ -277,6 +279,8 @@
                 return handler.answer(421, headers=[("Not-Executed", "1")])
         request_id = handler.headers.get("Request-Id", "")
         echo = [("Request-Id", request_id)]
+        if self.leaving is not None:
+            echo.append(("Server-Leaving", self.leaving))
         self.asked += 1
         if self.fault == "grey" and self.asked % 2 == 1:
             return handler.answer(
--- a/test/processes/platform_test.py
+++ b/test/processes/platform_test.py
@@ -5,6 +5,7 @@
 long something took. Usage: platform_test.py BUILD_DIR [unittest args]
 """
 import http.client
+import json
 import os
 import signal
 import socket
@@ -191,6 +192,97 @@
         self.assertEqual(runs, [("POST", "/book/a%2Fb;c?d=%20e&f", body, "u")])
 
 
+class ServersWhoLeave(World):
+    """Servers say in their answers that they leave; the store knows nothing."""
+
+    def tell(self, server, node, request_id):
+        """Sends until `server` has told `node`. Returns how many it got by then."""
+        server.leaving = "1"
+        before = server.asked
+        for number in range(200):
+            name = "%s-%d" % (request_id, number)
+            self.assertIn(node.call(request_id=name)[0], (200, 500, 503))
+            if server.asked > before:
+                return server.asked
+        raise AssertionError("it got no request")
+
+    def settled(self):
+        """Waits until the keys are spread over all servers."""
+        def owners(node):
+            return next(service["owners"]
+                        for service in json.loads(node.get("/status"))["services"]
+                        if service["name"] == "keyed")
+        eventually(lambda: all(
+            len(owners(node)["keys_by_server"]) == len(self.keyed)
+            and owners(node)["moving_ranges"] == 0 for node in self.nodes),
+            "the keys are spread")
+        self.owned()
+
+    def test_a_server_that_says_so_gets_nothing_new_from_who_heard_it(self):
+        asked = self.tell(self.plain[0], self.nodes[0], "l")
+        self.store.put("servers", "another", {})  # any news of the list
+        self.plain[0].register()
+        for number in range(60):
+            self.assertEqual(self.nodes[0].call(request_id="m-%d" % number)[0], 200)
+        self.assertEqual(self.plain[0].asked, asked)
+
+    def test_an_answer_that_is_a_failure_tells_it_too(self):
+        for fault in ("shed", "error"):
+            server = self.plain[1 if fault == "shed" else 2]
+            server.fault = fault
+            asked = self.tell(server, self.nodes[0], fault)
+            for number in range(40):
+                self.nodes[0].call(request_id="%s-after-%d" % (fault, number))
+            self.assertEqual(server.asked, asked)
+
+    def test_other_values_of_the_header_end_nothing(self):
+        for server, value in zip(self.plain, ("0", "", "yes")):
+            server.leaving = value
+        for number in range(30):
+            self.assertEqual(self.nodes[0].call(request_id="o-%d" % number)[0], 200)
+        self.assertTrue(all(server.asked > 2 for server in self.plain))
+        self.assertIn("chervilmux_server_statements_unreadable_total",
+                      self.nodes[0].get("/metrics"))
+
+    def test_the_next_life_of_a_server_serves_again(self):
+        asked = self.tell(self.plain[0], self.nodes[0], "n")
+        self.plain[0].leaving = None
+        self.plain[0].born += 1
+        self.plain[0].register()
+        eventually(lambda: self.nodes[0].call()[0] == 200
+                   and self.plain[0].asked > asked, "it serves")
+
+    def test_an_owner_is_refused_truthfully_once_its_time_is_over(self):
+        self.settled()
+        self.store.fault = "busy"  # so that its keys cannot move
+        owner = next(s for s in self.keyed if s.holds_key(100))
+        owner.leaving = "1"
+        self.assertEqual(self.nodes[0].call(path="/keyed/k", key=100,
+                                            request_id="k-first")[0], 200)
+        told = time.monotonic()
+
+        def call(number):
+            return self.nodes[0].call(path="/keyed/k", key=100,
+                                      request_id="k-%d" % number)
+        while time.monotonic() - told < 1.2:
+            self.assertEqual(call(0)[0], 200, self.nodes[0].log()[-2:])
+            time.sleep(0.3)  # a busier key would be moved for its load
+        time.sleep(max(0.0, told + 2 - time.monotonic()))
+        asked = owner.asked
+        for number in range(1, 6):
+            status, _, headers = call(number)
+            self.assertEqual(status, 503)
+            self.assertGreater(float(headers["Retry-After"]), 0)
+        self.assertEqual(owner.asked, asked)
+        line = next(line for line in self.nodes[0].log()
+                    if line.get("request") == "k-1")
+        self.assertEqual((line["kind"], line["stopped_by"]),
+                         ("no-owner", "k-first"))
+        self.assertGreater(int(line["stopped_ms_ago"]), 1500)
+        self.assertIn('chervilmux_withheld_total{service="keyed",reason="draining"} 5',
+                      self.nodes[0].get("/metrics"))
+
+
 class Owners(World):
     def test_a_draining_owners_keys_move_with_their_handover(self):
         self.owned()
