--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -29,6 +29,8 @@
 constexpr unsigned kMaxFailedConnects = 3;
 /// One of this many requests answered without a server error is logged.
 constexpr std::uint64_t kAnsweredLogSample = 64;
+/// One of this many statements of servers that cannot be read is logged.
+constexpr std::uint64_t kUnreadableLogSample = 64;
 
 /// Metric labels for requests of `service` that ended with `outcome`.
 std::string OutcomeLabels(std::string_view service, std::string_view outcome) {
@@ -63,6 +65,12 @@
     this->DispatchQueue(this->GetOrCreateServiceState(service), now);
     return;
   }
+  if (result.end == net::TransferEnd::kWithheld) {
+    const auto notice = this->GetOrCreateServiceState(service).loads.FindNotice(
+        job.server_id, job.keyed, now);
+    this->CountWithheld(job,
+                        notice ? notice->kind : policy::NoticeKind::kDraining);
+  }
   if (result.possibly_sent) {
     job.tried_servers.push_back(job.server_id);
     job.tried_addresses.push_back(job.server_address);
@@ -114,8 +122,62 @@
                      std::to_string(this->links.OpenTo(job.server_address))}});
 }
 
+void Dispatcher::CountWithheld(const Job& job, policy::NoticeKind reason) {
+  this->metrics
+      .Count("chervilmux_withheld_total",
+             observe::Label("service", job.service) + "," +
+                 observe::Label("reason", policy::NameOf(reason)))
+      .Add();
+}
+
+/// Takes in what a server says about itself, whether its answer is of use or
+/// not.
+void Dispatcher::OnStatements(const Job& job, const AnswerInfo& info,
+                              Instant now) {
+  const std::string service = observe::Label("service", job.service);
+  if (!info.unreadable.empty()) {
+    auto& unreadable = this->metrics.Count(
+        "chervilmux_server_statements_unreadable_total", service);
+    if (unreadable.Value() % kUnreadableLogSample == 0) {
+      observe::LogWarn("server_statement_unreadable",
+                       {{"request", job.metadata.id},
+                        {"service", job.service},
+                        {"server", job.server_id},
+                        {"statement", info.unreadable}});
+    }
+    unreadable.Add();
+  }
+  policy::ServerLoads& loads = this->GetOrCreateServiceState(job.service).loads;
+  const policy::ServerRun server{job.server_id, job.server_life};
+  if (info.back_off &&
+      loads.OnBackOff(server, *info.back_off, job.metadata.id, now)) {
+    this->metrics.Count("chervilmux_back_off_notices_total", service).Add();
+    const bool is_capped = *info.back_off > policy::kMaxBackOff;
+    auto& capped =
+        this->metrics.Count("chervilmux_back_offs_capped_total", service);
+    if (is_capped) capped.Add();
+    observe::LogWarn(
+        "server_backs_off",
+        {{"request", job.metadata.id},
+         {"service", job.service},
+         {"server", job.server_id},
+         {"asked_ms", FormatMs(*info.back_off)},
+         {"for_ms", FormatMs(loads.BackOffLeft(job.server_id, now))},
+         {"sent_ms_ago", FormatMs(now - job.sent_at)}});
+  }
+  if (!info.draining || !loads.OnDraining(server, job.metadata.id, now)) return;
+  this->metrics.Count("chervilmux_draining_notices_total", service).Add();
+  observe::LogWarn("server_draining",
+                   {{"request", job.metadata.id},
+                    {"service", job.service},
+                    {"server", job.server_id},
+                    {"life", std::to_string(job.server_life)},
+                    {"sent_ms_ago", FormatMs(now - job.sent_at)}});
+}
+
 void Dispatcher::OnAnswer(Job& job, net::HttpAnswer answer, Instant now) {
   const AnswerInfo info = this->wire.ClassifyAnswer(answer);
+  this->OnStatements(job, info, now);
   if (info.not_run) {
     this->OnNotRun(job, info, now);
     return;
@@ -130,12 +192,13 @@
                  "the answer lacks the server's signature header", {});
     return;
   }
-  this->RecordCompletion(
-      job,
-      attempt_failed ? AttemptOutcome::kServerError : AttemptOutcome::kServed,
-      info.load, now);
-  if (attempt_failed &&
-      this->RetryIfAllowed(job, ErrorKind::kServerBroken, now))
+  AttemptOutcome end = AttemptOutcome::kServed;
+  if (attempt_failed) end = AttemptOutcome::kServerError;
+  if (info.back_off) end = AttemptOutcome::kBackOff;
+  this->RecordCompletion(job, end, info.load, now);
+  // No other server can serve the key.
+  const bool can_retry = attempt_failed && !(job.keyed && info.back_off);
+  if (can_retry && this->RetryIfAllowed(job, ErrorKind::kServerBroken, now))
     return;
   if (info.status_implies_not_run) {
     this->Refuse(job, ErrorKind::kServerBroken,
@@ -149,7 +212,8 @@
 
 /// Handles an answer that states that the server did not run the request.
 void Dispatcher::OnNotRun(Job& job, const AnswerInfo& info, Instant now) {
-  AttemptOutcome end = AttemptOutcome::kShed;
+  AttemptOutcome end =
+      info.back_off ? AttemptOutcome::kBackOff : AttemptOutcome::kShed;
   if (info.misdirected) {
     // In a service without keys, the address now belongs to another server, so
     // the intended one no longer exists. In a keyed service the server may only
@@ -168,12 +232,19 @@
   // No other server can serve the key, so a retry would only add load to its
   // overloaded owner.
   const bool server_full = !info.load || !info.load->HasFreeSlot();
-  const bool owner_full =
-      job.keyed && server_full && kind == ErrorKind::kServerShed;
+  const bool owner_full = job.keyed && kind == ErrorKind::kServerShed &&
+                          (server_full || info.back_off);
   if (!owner_full && this->RetryIfAllowed(job, kind, now)) return;
-  this->Refuse(
-      job, kind, "the server refused the request without running it",
-      this->GetOrCreateServiceState(job.service).loads.MeanServiceTime());
+  const policy::ServerLoads& loads =
+      this->GetOrCreateServiceState(job.service).loads;
+  constexpr std::string_view kWhy =
+      "the server refused the request without running it";
+  const Duration rest = loads.BackOffLeft(job.server_id, now);
+  if (job.keyed && rest.count() > 0) {
+    this->RefuseUntil(job, kind, kWhy, rest);
+  } else {
+    this->Refuse(job, kind, kWhy, loads.MeanServiceTime());
+  }
 }
 
 void Dispatcher::RecordAnswered(const Job& job, unsigned status, Instant now) {
@@ -204,6 +275,10 @@
   ErrorKind kind = ErrorKind::kServerBroken;
   AttemptOutcome end = AttemptOutcome::kBroken;
   switch (result.end) {
+    case TransferEnd::kWithheld:
+      kind = ErrorKind::kServerConnect;
+      end = AttemptOutcome::kInconclusive;
+      break;
     case TransferEnd::kNotSent:
       kind = ErrorKind::kServerConnect;
       end = AttemptOutcome::kUnreachable;
@@ -275,6 +350,22 @@
 
 void Dispatcher::Refuse(Job& job, ErrorKind kind, std::string_view why,
                         Duration expected_wait) {
+  const Duration retry_after =
+      expected_wait.count() > 0
+          ? policy::RetryAfter(expected_wait, this->RandomUnit())
+          : Duration(0);
+  this->RefuseWithRetryAfter(job, kind, why, retry_after);
+}
+
+void Dispatcher::RefuseUntil(Job& job, ErrorKind kind, std::string_view why,
+                             Duration rest) {
+  this->RefuseWithRetryAfter(
+      job, kind, why, policy::RetryAfterBackOff(rest, this->RandomUnit()));
+}
+
+void Dispatcher::RefuseWithRetryAfter(Job& job, ErrorKind kind,
+                                      std::string_view why,
+                                      Duration retry_after) {
   // "Not run" is a guarantee about all attempts of the request, not only about
   // the last one.
   const bool claims_not_run =
@@ -288,14 +379,20 @@
             OutcomeLabels(job.service, kernel::NameOf(outcome)))
       .Observe(kernel::Now() - job.arrived_at);
   this->LogRefusal(job, error);
-  const Duration retry_after =
-      expected_wait.count() > 0
-          ? policy::RetryAfter(expected_wait, this->RandomUnit())
-          : Duration(0);
   this->Finish(job,
                this->wire.MakeRefusal(error, retry_after, job.metadata.id));
 }
 
+std::optional<policy::NoticeSource> Dispatcher::StoppedBy(
+    const Job& job, const std::string& owner) const {
+  const auto state = this->services.find(job.service);
+  if (state == this->services.end()) return std::nullopt;
+  const policy::ServerLoads& loads = state->second->loads;
+  const Instant now = kernel::Now();
+  if (job.keyed) return loads.FindNotice(owner, true, now);
+  return loads.UsableSlots(now) == 0 ? loads.NewestNotice(now) : std::nullopt;
+}
+
 void Dispatcher::LogRefusal(const Job& job, const kernel::Error& error) const {
   const Instant now = kernel::Now();
   const std::string version =
@@ -314,6 +411,7 @@
     if (range != nullptr) owner = range->owner;
     owner_load = state->second->loads.EstimateLoad(owner, now);
   }
+  const auto stopped_by = this->StoppedBy(job, owner);
   const bool has_report = owner_load && owner_load->report_age;
   observe::LogWarn(
       "refused",
@@ -330,6 +428,9 @@
         owner_load ? std::to_string(owner_load->in_flight) : ""},
        {"owner_report_age_ms",
         has_report ? FormatMs(*owner_load->report_age) : ""},
+       {"stopped_by", stopped_by ? stopped_by->request_id : ""},
+       {"stopped_ms_ago",
+        stopped_by ? FormatMs(now - stopped_by->received_at) : ""},
        {"config_version", version},
        {"left_ms", FormatMs(job.deadline - now)},
        {"held_ms", FormatMs(now - job.arrived_at)},
--- a/src/policy/server_loads.h
+++ b/src/policy/server_loads.h
@@ -22,6 +22,7 @@
 #include "kernel/time.h"
 #include "model/backend_server.h"
 #include "net/address.h"
+#include "policy/server_notices.h"
 
 namespace chervilmux::policy {
 
@@ -45,6 +46,7 @@
   kUnreachable,  ///< No connection could be established.
   kBroken,       ///< The connection failed, or the answer was unusable.
   kTimedOut,     ///< No answer by the deadline.
+  kBackOff,      ///< The server asked for no requests for a while.
   /// The server reset or closed a new connection without sending a byte. A
   /// server whose queue or connections are full does so.
   kReset,
@@ -158,10 +160,43 @@
   /// Whether `id` is ejected after failures.
   bool IsEjected(std::string_view id, kernel::Instant now) const;
 
-  /// The longest time for which `id` may have been draining; zero when it is
-  /// not draining.
-  kernel::Duration MaxDrainingTime(std::string_view id,
-                                   kernel::Instant now) const;
+  /// The time after which `id` gets no requests at all because it drains: by
+  /// the list or by its own notice, whichever is earlier. Empty when it does
+  /// not drain; kNever when it may have drained for any time.
+  std::optional<kernel::Instant> DrainDeadline(std::string_view id) const;
+
+  /// Records that an answer of `server` stated that it drains. Returns whether
+  /// it was the first such answer.
+  bool OnDraining(const ServerRun& server, std::string_view request_id,
+                  kernel::Instant now);
+
+  /// Records that an answer of `server` asked for no requests for `time`.
+  /// Returns whether that moved the end of its back-off.
+  bool OnBackOff(const ServerRun& server, kernel::Duration time,
+                 std::string_view request_id, kernel::Instant now);
+
+  /// Remaining time for which `id` wants no requests; zero when it wants some.
+  kernel::Duration BackOffLeft(std::string_view id, kernel::Instant now) const;
+
+  /// Remaining time until the first of the servers that neither are ejected for
+  /// longer nor drain wants requests again; empty when there is none.
+  std::optional<kernel::Duration> ShortestBackOffLeft(
+      kernel::Instant now) const;
+
+  /// Whether a request that was chosen to go to `server` may still be sent, by
+  /// the notices that arrived since. `is_owner`: the request has a key, which
+  /// no other server owns.
+  bool MaySend(const ServerRun& server, bool is_owner,
+               kernel::Instant now) const;
+
+  /// The answer by which `id` gets no requests now; empty when there is none.
+  /// `is_owner` as in MaySend().
+  std::optional<NoticeSource> FindNotice(std::string_view id, bool is_owner,
+                                         kernel::Instant now) const;
+  /// The newest answer by which any server gets no requests without a key.
+  std::optional<NoticeSource> NewestNotice(kernel::Instant now) const;
+  /// Servers that are known to drain by their own notice.
+  std::size_t DrainingNotices() const { return this->notices.DrainingCount(); }
 
   /// Records that this instance sent a request to `id`.
   void OnSent(std::string_view id);
@@ -178,7 +213,8 @@
   /// The estimates for all listed servers, in order of their ids.
   std::vector<ServerView> ServerViews(kernel::Instant now) const;
 
-  /// Total slots of the servers that are neither draining nor ejected.
+  /// Total slots of the servers that neither drain nor are ejected nor want no
+  /// requests.
   unsigned UsableSlots(kernel::Instant now) const;
 
   /// Requests per second that `id` completes with all slots in use; 0 when `id`
@@ -236,6 +272,12 @@
                                 kernel::Instant now) const;
   std::string MinCostServer(std::span<const std::string> ids,
                             kernel::Instant now) const;
+  const DrainNotice* FindDraining(const Server& server) const;
+  bool IsDraining(const Server& server) const;
+  /// The end of the time for which `server` wants no requests.
+  kernel::Instant BackOffEnd(const Server& server) const;
+  /// Whether `server` can get a request after its back-off, if it had one.
+  bool MayStart(const Server& server, kernel::Instant now) const;
   double EstimatedLoad(const Server& server, kernel::Instant now) const;
   double AgedServiceTime(const Server& server, kernel::Instant now) const;
   double ServiceTime(const Server& server, kernel::Instant now) const;
@@ -258,6 +300,7 @@
   std::string own_failure_domain;
   ServerLoadsTuning tuning;
   std::map<std::string, Server, std::less<>> servers;
+  ServerNotices notices;
   double mean_service_time_s = 0;  ///< Over all servers.
   /// Mean of `other_instances_load` per slot, over all servers.
   double mean_other_load_per_slot = 0;
--- a/test/correctness/data_path_test.cc
+++ b/test/correctness/data_path_test.cc
@@ -392,6 +392,19 @@
   CHECK(server.NextError() == ECONNRESET);
 }
 
+// Failure: a request is sent on a new connection although its server has said,
+// while the connection was opened, that it wants no more.
+TEST_CASE("a request is withheld from a server that wants no more by then") {
+  fakes::LoopbackListener listener;
+  Links links;
+  links.may_send = false;
+  const auto result = links.Start(listener.address, "a", true).get();
+  CHECK(result.end == TransferEnd::kWithheld);
+  CHECK_FALSE(result.possibly_sent);
+  ServerEnd server(listener);
+  CHECK(server.NextError() == ECONNRESET);
+}
+
 TEST_CASE("a server that does not listen was not asked") {
   fakes::LoopbackListener listener;
   const Address address = listener.address;
--- a/test/fakes/prepared_platform.py
+++ b/test/fakes/prepared_platform.py
@@ -237,13 +237,17 @@
 
     `fault` is None or one of "shed", "grey" (each second request is refused, though
     it tells that its slots are free), "error", "truncate", "late" (the answer to
-    the request before comes first), "silent" and "unsigned".
+    the request before comes first), "silent" and "unsigned". `leaving`, unless
+    None, is what each of its answers tells in Server-Leaving. With `quiet` it turns
+    all requests away, with this text in Retry-After.
     """
 
     def __init__(self, store, name, service, domain="a", slots=6, keyed=False):
         self.store, self.name, self.service = store, name, service
         self.domain, self.slots, self.keyed = domain, slots, keyed
         self.fault = None
+        self.leaving = None
+        self.quiet = None
         self.work_s = 0.0
         self.asked = 0
         self.misdirected = 0  # requests that were meant for another server
@@ -304,11 +308,16 @@
             if self.keyed and not self.holds_key(int(key)):
                 return handler.answer(
                     421, headers=echo + [("Not-Executed", "1")])
+        if self.leaving is not None:
+            echo.append(("Server-Leaving", self.leaving))
         self.asked += 1
         if self.fault == "grey" and self.asked % 2 == 1:
             return handler.answer(
                 503, headers=echo + [("Not-Executed", "1"),
                                      ("Server-Load", "0,0,%d" % self.slots)])
+        if self.quiet is not None:
+            return handler.answer(503, headers=echo + [("Not-Executed", "1"),
+                                                       ("Retry-After", self.quiet)])
         if self.fault == "shed":
             return handler.answer(503, headers=echo + [("Not-Executed", "1")])
         self.ran.append((handler.command, handler.path, body, request_id))
--- a/test/processes/platform_test.py
+++ b/test/processes/platform_test.py
@@ -5,6 +5,7 @@
 long something took. Usage: platform_test.py BUILD_DIR [unittest args]
 """
 import http.client
+import json
 import os
 import signal
 import socket
@@ -191,6 +192,180 @@
         self.assertEqual(runs, [("POST", "/book/a%2Fb;c?d=%20e&f", body, "u")])
 
 
+class ServersWhoLeave(World):
+    """Servers say in their answers that they leave; the store knows nothing."""
+
+    def tell(self, server, node, request_id):
+        """Sends until `server` has told `node`. Returns how many it got by then."""
+        server.leaving = "1"
+        before = server.asked
+        for number in range(200):
+            name = "%s-%d" % (request_id, number)
+            self.assertIn(node.call(request_id=name)[0], (200, 500, 503))
+            if server.asked > before:
+                return server.asked
+        raise AssertionError("it got no request")
+
+    def settled(self):
+        """Waits until the keys are spread over all servers."""
+        def owners(node):
+            return next(service["owners"]
+                        for service in json.loads(node.get("/status"))["services"]
+                        if service["name"] == "keyed")
+        eventually(lambda: all(
+            len(owners(node)["keys_by_server"]) == len(self.keyed)
+            and owners(node)["moving_ranges"] == 0 for node in self.nodes),
+            "the keys are spread")
+        self.owned()
+
+    def test_a_server_that_says_so_gets_nothing_new_from_who_heard_it(self):
+        asked = self.tell(self.plain[0], self.nodes[0], "l")
+        self.store.put("servers", "another", {})  # any news of the list
+        self.plain[0].register()
+        for number in range(60):
+            self.assertEqual(self.nodes[0].call(request_id="m-%d" % number)[0], 200)
+        self.assertEqual(self.plain[0].asked, asked)
+
+    def test_an_answer_that_is_a_failure_tells_it_too(self):
+        for fault in ("shed", "error"):
+            server = self.plain[1 if fault == "shed" else 2]
+            server.fault = fault
+            asked = self.tell(server, self.nodes[0], fault)
+            for number in range(40):
+                self.nodes[0].call(request_id="%s-after-%d" % (fault, number))
+            self.assertEqual(server.asked, asked)
+
+    def test_other_values_of_the_header_end_nothing(self):
+        for server, value in zip(self.plain, ("0", "", "yes")):
+            server.leaving = value
+        for number in range(30):
+            self.assertEqual(self.nodes[0].call(request_id="o-%d" % number)[0], 200)
+        self.assertTrue(all(server.asked > 2 for server in self.plain))
+        self.assertIn("chervilmux_server_statements_unreadable_total",
+                      self.nodes[0].get("/metrics"))
+
+    def test_the_next_life_of_a_server_serves_again(self):
+        asked = self.tell(self.plain[0], self.nodes[0], "n")
+        self.plain[0].leaving = None
+        self.plain[0].born += 1
+        self.plain[0].register()
+        eventually(lambda: self.nodes[0].call()[0] == 200
+                   and self.plain[0].asked > asked, "it serves")
+
+    def test_an_owner_is_refused_truthfully_once_its_time_is_over(self):
+        self.settled()
+        self.store.fault = "busy"  # so that its keys cannot move
+        owner = next(s for s in self.keyed if s.holds_key(100))
+        owner.leaving = "1"
+        self.assertEqual(self.nodes[0].call(path="/keyed/k", key=100,
+                                            request_id="k-first")[0], 200)
+        told = time.monotonic()
+
+        def call(number):
+            return self.nodes[0].call(path="/keyed/k", key=100,
+                                      request_id="k-%d" % number)
+        while time.monotonic() - told < 1.2:
+            self.assertEqual(call(0)[0], 200, self.nodes[0].log()[-2:])
+            time.sleep(0.3)  # a busier key would be moved for its load
+        time.sleep(max(0.0, told + 2 - time.monotonic()))
+        asked = owner.asked
+        for number in range(1, 6):
+            status, _, headers = call(number)
+            self.assertEqual(status, 503)
+            self.assertGreater(float(headers["Retry-After"]), 0)
+        self.assertEqual(owner.asked, asked)
+        line = next(line for line in self.nodes[0].log()
+                    if line.get("request") == "k-1")
+        self.assertEqual((line["kind"], line["stopped_by"]),
+                         ("no-owner", "k-first"))
+        self.assertGreater(int(line["stopped_ms_ago"]), 1500)
+        self.assertIn('chervilmux_withheld_total{service="keyed",reason="draining"} 5',
+                      self.nodes[0].get("/metrics"))
+
+
+class ServersWhoWantQuiet(World):
+    """Servers turn requests away and say for how long they want none."""
+
+    def turn_away(self, server, node, seconds):
+        """Sends until `server` has turned `node` away. Returns when it did."""
+        server.quiet = seconds
+        before = server.asked
+        for number in range(200):
+            node.call(request_id="first-%d" % number)
+            if server.asked > before:
+                return time.monotonic()
+        raise AssertionError("it got no request")
+
+    def test_a_server_gets_nothing_until_the_end_and_then_serves_again(self):
+        turned = self.turn_away(self.plain[0], self.nodes[0], "1.5")
+        asked = self.plain[0].asked
+        self.plain[0].quiet = None
+        while time.monotonic() < turned + 1.4:
+            self.assertEqual(self.nodes[0].call()[0], 200)
+        self.assertEqual(self.plain[0].asked, asked)
+        eventually(lambda: self.nodes[0].call()[0] == 200
+                   and self.plain[0].asked > asked + 3, "it serves again")
+
+    def test_a_service_of_quiet_servers_refuses_at_once_until_one_wants_more(self):
+        ends = []
+        for server in self.plain:
+            ends.append(self.turn_away(server, self.nodes[0], "3") + 3)
+        asked = [server.asked for server in self.plain]
+        times = set()
+        for number in range(20):
+            status, _, headers = self.nodes[0].call(request_id="q-%d" % number)
+            self.assertEqual(status, 503)
+            # The answer was there a moment before the test noted it.
+            rest = min(ends) - time.monotonic() - 0.1
+            self.assertGreater(float(headers["Retry-After"]), rest)
+            times.add(headers["Retry-After"])
+        self.assertEqual([server.asked for server in self.plain], asked)
+        self.assertGreater(len(times), 10)
+
+    def test_an_owner_is_left_alone_and_not_ejected(self):
+        self.owned()
+        self.store.fault = "busy"  # so that its keys cannot move
+        owner = next(s for s in self.keyed if s.holds_key(100))
+        owner.quiet = "2"
+
+        def call(number):
+            return self.nodes[0].call(path="/keyed/k", key=100,
+                                      request_id="q-%d" % number)
+        status, _, headers = call(0)
+        end = time.monotonic() + 2
+        self.assertEqual((status, float(headers["Retry-After"]) > 1.9), (503, True))
+        asked = owner.asked
+        owner.quiet = None
+        for number in range(1, 5):
+            time.sleep(0.3)
+            status, _, headers = call(number)
+            self.assertEqual(status, 503)
+            self.assertGreater(float(headers["Retry-After"]),
+                               end - time.monotonic() - 0.1)
+        self.assertEqual(owner.asked, asked)
+        line = next(line for line in self.nodes[0].log()
+                    if line.get("request") == "q-4")
+        self.assertEqual((line["kind"], line["stopped_by"]), ("server-shed", "q-0"))
+        self.assertIn('chervilmux_withheld_total{service="keyed",reason="back-off"} 4',
+                      self.nodes[0].get("/metrics"))
+        time.sleep(max(0.0, end + 0.05 - time.monotonic()))
+        self.assertEqual(call(5)[0], 200)
+        self.assertNotIn("server_ejected",
+                         [line["event"] for line in self.nodes[0].log()])
+
+    def test_a_bad_value_ends_nothing(self):
+        values = ("Fri, 31 Dec 1999 23:59:59 GMT", "-4", "")
+        for server, value in zip(self.plain, values):
+            self.turn_away(server, self.nodes[0], value)
+            server.quiet = None
+        for server in self.plain:
+            asked = server.asked
+            eventually(lambda s=server, a=asked: self.nodes[0].call()[0] == 200
+                       and s.asked > a, "it serves")
+        self.assertIn('chervilmux_server_statements_unreadable_total{service="plain"} 3',
+                      self.nodes[0].get("/metrics"))
+
+
 class Owners(World):
     def test_a_draining_owners_keys_move_with_their_handover(self):
         self.owned()
