--- a/src/node/server_list.cc
+++ b/src/node/server_list.cc
@@ -27,6 +27,8 @@
 /// Servers that are gone and remembered; copies of the store are some seconds
 /// old.
 constexpr std::size_t kMaxGone = 4096;
+/// So many are left when there are more: it costs a look at all of them.
+constexpr std::size_t kKeptGone = 3072;
 
 /// Orders the reports of a server.
 std::pair<std::uint64_t, std::uint64_t> ReportOrder(
@@ -82,7 +84,7 @@
   std::ranges::sort(gone);
   std::set<std::string, std::less<>> forgotten;
   for (const auto& [listed_at, id] :
-       std::span(gone).first(gone.size() - kMaxGone)) {
+       std::span(gone).first(gone.size() - kKeptGone)) {
     forgotten.emplace(id);
   }
   std::erase_if(this->known, [&forgotten](const auto& entry) {
