One line in the log when the store's era changes for a keyed service

Whether the instance leads then says if it goes on with the owners that it knows or waits for the grants of the era before. A test shows that terms and tokens of the last era that JSON numbers hold keep their value.

--- a/src/node/key_service.cc
+++ b/src/node/key_service.cc
@@ -71,6 +71,7 @@
 void KeyService::Tick(Instant now) {
   const auto actions = this->grantor.Tick(now);
   this->LogLeadership();
+  this->LogEra();
   if (actions.read) this->Read();
   if (actions.write) this->Write(*actions.write);
   for (const auto& order : actions.orders) this->SendOrder(order);
@@ -91,6 +92,17 @@
                    {{"service", this->name}});
 }
 
+/// Only the leader goes on with the owners of the era before.
+void KeyService::LogEra() {
+  if (this->logged_era == this->grantor.Era()) return;
+  observe::LogInfo("owners_era",
+                   {{"service", this->name},
+                    {"era", std::to_string(this->grantor.Era())},
+                    {"era_before", std::to_string(this->logged_era)},
+                    {"leads", this->grantor.Leads() ? "yes" : "no"}});
+  this->logged_era = this->grantor.Era();
+}
+
 void KeyService::LogLapse(const ranges::ExpiryNotice& notice, Instant now) {
   const bool over = notice.expires_at <= now;
   const auto left = over ? kernel::Duration(0) : notice.expires_at - now;
--- a/src/node/key_service.h
+++ b/src/node/key_service.h
@@ -69,6 +69,7 @@
   std::optional<ranges::RangeTable> TableBeforeEra(
       const store::RowsReply& tables, std::uint64_t era) const;
   void LogLeadership();
+  void LogEra();
   void LogLapse(const ranges::ExpiryNotice& notice, kernel::Instant now);
 
   const Formats& formats;
@@ -81,6 +82,7 @@
   ranges::LoadCounter sketch;
   ranges::RangeTable owners;
   bool led = false;
+  std::uint64_t logged_era = 0;
 };
 
 }  // namespace chervilmux::node
--- a/src/ranges/range_grantor.h
+++ b/src/ranges/range_grantor.h
@@ -239,6 +239,9 @@
     return this->Leads() && this->IsLeaseValid(now);
   }
 
+  /// The latest era in which the store has answered.
+  std::uint64_t Era() const { return this->era; }
+
   /// Routing table for requests; only meaningful while this instance leads.
   const RangeTable& PublishedTable() const { return this->published_table; }
 
--- a/test/correctness/range_table_test.cc
+++ b/test/correctness/range_table_test.cc
@@ -103,6 +103,18 @@
     REQUIRE(decoded);
     CHECK(decoded.value() == table);
   }
+  SUBCASE("encoding keeps terms and tokens of a late era and an open doubt") {
+    constexpr std::uint64_t kLastEra = 8191;
+    RangeTable late = table;
+    late.term = LowestOfEra(kLastEra) + 1;
+    late.last_fence = LowestOfEra(kLastEra + 1) - 1;
+    late.ranges[1].fence = late.last_fence;
+    late.unsettled = true;
+    CHECK(EraOfTerm(late.term) == kLastEra);
+    const auto decoded = DecodeTable(EncodeTable(late));
+    REQUIRE(decoded);
+    CHECK(decoded.value() == late);
+  }
   SUBCASE("a table with a gap, an overlap or wrong types is refused") {
     RangeTable gap = table;
     gap.ranges[1].first = 30001;
