Test: owners refuse a successor whose writes the restored store has lost

A leader that goes on with the old tokens alone is not enough: its owners, once they have released keys, take the late renewal of such a successor.

--- a/test/scenario/restored_store_test.cc
+++ b/test/scenario/restored_store_test.cc
@@ -206,4 +206,30 @@
   });
 }
 
+// Failure: a successor whose writes are lost reaches the servers only after the
+// restore, and an owner takes its renewal after it has released its keys to the
+// leader that goes on.
+TEST_CASE("owners refuse a lost successor of the leader of a restored store") {
+  LeastOwnedShare([](RangeSimulation& simulation) {
+    constexpr Duration kCutAt = seconds(13);
+    constexpr Duration kReturnsAt = seconds(17);
+    constexpr Duration kServersReachedAt = seconds(18);
+    simulation.Schedule(kCutAt, [&] {
+      const unsigned leader = simulation.Leader().value_or(0);
+      simulation.CutStoreLink(leader, kReturnsAt - kCutAt);
+      for (unsigned i = 0; i < 3; ++i) {
+        if (i == leader) continue;
+        for (unsigned server = 0; server < 5; ++server)
+          simulation.CutServerLink(i, server, kServersReachedAt - kCutAt);
+        simulation.Schedule(kReturnsAt - kCutAt, [&simulation, i] {
+          simulation.CutStoreLink(i, seconds(4));
+        });
+      }
+    });
+    simulation.Schedule(kReturnsAt,
+                        [&] { simulation.RestoreStore(seconds(5)); });
+    ScheduleDrain(simulation, kReturnsAt + milliseconds(100));
+  });
+}
+
 }  // namespace chervilmux::scenario
