--- /dev/null
+++ b/test/soak/plan.py
@@ -0,0 +1,70 @@
+"""The plan of a soak run: all that goes wrong, drawn from the seed before it starts."""
+import dataclasses
+import random
+
+SERVERS = ("plain-0", "plain-1", "plain-2", "other-0", "other-1",
+           "keyed-0", "keyed-1", "keyed-2")
+REST_S = 2.0  # calm at the start and before the end
+
+LINK = ("delay", "reset", "cut_there", "cut_back", "silence")
+ANSWERS = ("shed", "grey", "error", "truncate", "late", "extra", "unsigned",
+           "garbage", "slow")
+STORE = ("busy", "silent", "drop", "lossy", "forget")
+# Work that the operator plans; everything else is a disturbance.
+PLANNED = ("stop", "hangup", "change", "drain")
+
+
+@dataclasses.dataclass(order=True)
+class Fault:
+    begin: float  # s after the start
+    end: float
+    kind: str
+    target: str  # an instance, a server, "link:SERVER", "door:INSTANCE", ...
+    value: int  # what the kind needs besides, drawn with the rest
+
+    def __str__(self):
+        return "%6.2f to %6.2f  %-14s %-14s %d" % (
+            self.begin, self.end, self.kind, self.target, self.value)
+
+
+def _series(rng, kinds, targets, longest_s):
+    """One kind of trouble again and again, at one target or at several."""
+    kind = rng.choice(kinds)
+    chosen = rng.sample(targets, k=min(len(targets), rng.choice((1, 1, 2))))
+    return kind, chosen, longest_s, rng.randint(1, 4)
+
+
+def draw(seed, seconds, nodes, restores=False):
+    """All faults of a run, in order. A quarter of the seeds has planned work only."""
+    rng = random.Random("plan %d" % seed)
+    instances = ["node-%d" % number for number in range(nodes)]
+    links = ["link:" + name for name in SERVERS]
+    doors = ["door:" + name for name in instances]
+    planned = [(("stop",), instances, 2.0), (("hangup",), instances, 0.1),
+               (("change",), ["config"], 0.1), (("drain",), list(SERVERS), 4.0)]
+    disturbances = [
+        (("kill",), instances, 2.0), (("pause",), instances, 3.0),
+        (LINK, links, 3.0), (LINK, links, 3.0), (LINK, doors, 5.0),
+        (("busy", "silent", "drop"), doors, 6.0), (STORE, ["store"], 5.0),
+        (("crash",), list(SERVERS), 4.0), (ANSWERS, list(SERVERS), 4.0),
+        (("slow_clock",), list(SERVERS), 5.0)]
+    if restores:
+        disturbances.append((("store_restored",), ["store"], 4.0))
+    choices = planned if seed % 4 == 0 else planned + disturbances
+    series = [_series(rng, *rng.choice(choices))
+              for _ in range(rng.randint(4, 6) + nodes // 4)]
+    if restores:
+        series.append(_series(rng, *disturbances[-1]))
+    faults = []
+    for kind, targets, longest_s, turns in series:
+        at = rng.uniform(REST_S, seconds * 0.6)
+        for _ in range(turns):
+            for target in targets:
+                begin = at + rng.uniform(0, 0.4)
+                end = begin + rng.uniform(0.05, 1) * longest_s
+                value = rng.randrange(1 << 16)
+                if end < seconds - REST_S:
+                    faults.append(Fault(round(begin, 3), round(end, 3), kind,
+                                        target, value))
+            at += rng.uniform(0.2, 4.0)
+    return sorted(faults)
--- /dev/null
+++ b/test/soak/world.py
@@ -0,0 +1,400 @@
+"""What a soak runs: real instances, and stand-ins behind links that faults can harm."""
+import os
+import random
+import signal
+import sys
+import threading
+import time
+import zlib
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path[:0] = [os.path.join(HERE, "..", "processes"), os.path.join(HERE, "..", "fakes")]
+from platform_world import HOST, Node  # noqa: E402
+import prepared_platform as platform  # noqa: E402
+from plan import SERVERS  # noqa: E402
+from proxy import Link  # noqa: E402
+
+platform.Server.request_queue_size = 256  # bursts of connections find room
+DRAIN_S = 2.0
+GRACE_S = 6.0  # as Node.write_settings says
+YOUNG_S = 1.0  # so long after its start a process may not listen to signals
+STOP_LIMIT_S = 15.0  # generous: more than twice the grace
+TIMEOUT_S = 2.0  # the routes' limit, as platform.route says
+SHORTEST_IDLE_S = 5
+
+
+class Listed:
+    """The store as a server uses it: its entry tells the address of its link."""
+
+    def __init__(self, store, link):
+        self.store, self.link = store, link
+
+    def put(self, table, key, value):
+        self.store.put(table, key, dict(value, address=self.link.address))
+
+    def remove(self, table, key):
+        self.store.remove(table, key)
+
+
+class Answered:
+    """Keeps an answer until it is sent."""
+
+    def __init__(self):
+        self.status, self.headers = None, ()
+
+    def answer(self, status, _body=b"", headers=()):
+        self.status, self.headers = status, headers
+
+
+class SoakServer(platform.Backend):
+    """One life of a backend server; tells the ledger what it is asked and runs."""
+
+    def __init__(self, world, slot, name, link):
+        self.ledger, self.link, self.dead = world.ledger, link, False
+        self.late = {}  # spans that a held up grant gave it
+        self.at_work = {}  # request id -> (key, end of its hold)
+        self.running = 0
+        self.clock_rate = 1.0  # above one: it holds keys for longer
+        service = slot.split("-")[0]
+        super().__init__(Listed(world.store, link), name, service,
+                         domain="ab"[int(slot[-1]) % 2], keyed=service == "keyed")
+        link.target = self.http.address
+        self.ledger.servers.append(self)
+
+    def die(self):
+        with self.ledger.lock:
+            self.dead = True
+        self.stop()
+
+    def serve(self, handler):
+        try:
+            body = self._body(handler)
+        except (OSError, ValueError):
+            handler.close_connection = True
+            return None
+        target = handler.headers.get("Target-Instance")
+        if self.dead:
+            handler.close_connection = True
+            return None
+        if target is not None and target != self.name:
+            return handler.answer(421, headers=[("Not-Executed", "1")])
+        if handler.path == "/-/grant":
+            return self.grant(handler, platform.json.loads(body))
+        if handler.path == "/-/release":
+            return self.release(handler, platform.json.loads(body))
+        if handler.path == "/healthz":
+            return handler.answer(200, headers=[("Instance-Id", self.name)])
+        return self._run(handler, body)
+
+    @staticmethod
+    def _body(handler):
+        if handler.headers.get("Transfer-Encoding") != "chunked":
+            return handler.body()
+        body = b""
+        while size := int(handler.rfile.readline(), 16):
+            body += handler.rfile.read(size)
+            handler.rfile.readline()
+        handler.rfile.readline()
+        return body
+
+    def _run(self, handler, body):
+        request_id = handler.headers.get("Request-Id", "")
+        key = handler.headers.get("Shard-Key")
+        drawn = random.Random("work " + request_id)
+        fault = self.fault
+        self.ledger.arrived(self, request_id, handler.headers.get("Deadline-Ms"))
+        refusal = [("Request-Id", request_id), ("Not-Executed", "1")]
+        with self.ledger.lock:
+            self.asked += 1
+            if self.dead or request_id not in self.ledger.requests:
+                handler.close_connection = True
+                return None
+            if self.keyed and not self.holds_key(int(key)):
+                return handler.answer(421, headers=refusal)
+            if (fault == "shed" or self.running >= 2 * self.slots or
+                    (fault == "grey" and self.asked % 2)):
+                return handler.answer(503, headers=refusal)
+            self.running += 1
+            if self.keyed:
+                self.at_work[request_id] = (int(key), self._held_until(int(key)))
+            self.ledger.begins(self, request_id, handler.command, handler.path, body)
+        work_s = drawn.choice((0, 0, 0.005, 0.02, 0.05, 0.3))
+        time.sleep(work_s + (1.0 if fault == "slow" else 0))
+        with self.ledger.lock:
+            self.running -= 1
+            self.ledger.ends(request_id)
+            _, until = self.at_work.pop(request_id, (0, float("inf")))
+        failed = fault == "error" or until < time.monotonic()
+        return self._answer(handler, 500 if failed else 200, request_id, drawn, fault)
+
+    def _held_until(self, key):
+        return next(until for (first, last), (_, until) in self.holds.items()
+                    if first <= key <= last and until > time.monotonic())
+
+    def _answer(self, handler, status, request_id, drawn, fault):
+        body = ("%s of %s " % (request_id, self.name)).encode() + drawn.randbytes(
+            drawn.choice((0, 10, 1000, 20000)))
+        form = drawn.choice(("length", "length", "length", "chunked", "end"))
+        head = "HTTP/1.1 %d Text\r\nRequest-Id: %s\r\n" % (status, request_id)
+        if fault != "unsigned":
+            head += "Response-Signature: %s/%s/%d/%08x\r\n" % (
+                self.name, request_id, status, zlib.crc32(body))
+        if fault == "truncate":
+            form = "length"
+        if form == "length":
+            head += "Content-Length: %d\r\nServer-Load: %d,0,%d\r\n" % (
+                len(body), self.running, self.slots)
+        elif form == "chunked":
+            head += "Transfer-Encoding: chunked\r\n"
+            body = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in
+                            (body[:7], body[7:])) + b"0\r\n\r\n"
+        whole = head.encode() + b"\r\n" + body
+        another = (b"HTTP/1.1 200 OK\r\nRequest-Id: another\r\nContent-Length: 3\r\n"
+                   b"Response-Signature: a/another/200/x\r\n\r\nbad")
+        if fault == "truncate":
+            whole = whole[:len(whole) - 5]
+        elif fault == "garbage":
+            whole = b"\x00\xff no answer \r\n\r\n" * 3
+        elif fault == "late":
+            whole = another + whole
+        elif fault == "extra" and form != "end":
+            whole += another
+        handler.close_connection = form == "end" or fault in ("truncate", "garbage")
+        handler.wfile.write(whole)
+
+    def grant(self, handler, order):
+        order["holdS"] *= self.clock_rate
+        answered, accepted = Answered(), []
+        with self.ledger.granting(self, order, accepted):
+            if not self.dead:
+                super().grant(answered, order)
+                accepted.append(answered.status)
+        if not accepted:
+            handler.close_connection = True
+            return
+        handler.answer(answered.status)
+
+    def release(self, handler, order):
+        """Answered when the work on these keys has ended."""
+        answered = Answered()
+        with self.ledger.lock:
+            super().release(answered, order)
+        while any(order["from"] <= key <= order["to"]
+                  for key, _ in list(self.at_work.values())):
+            time.sleep(0.005)
+        handler.answer(answered.status, headers=answered.headers)
+
+
+class Instance(Node):
+    """A real process; faults that overlap are counted."""
+
+    def __init__(self, world, number, ips):
+        super().__init__(number, world.store, world.folder)
+        self.world, self.name = world, "node-%d" % number
+        self.ip, self.domain = ips[number], "ab"[number % 2]
+        self.seeds = [ip + ":8649" for ip in ips]
+        self.store_door = self.door
+        self.door = Link(world.loop, self.store_door.address)
+        self.held_down = self.paused = 0
+        self.may_end = True
+        self.lock = threading.Lock()
+        self.write_settings()
+
+    def start(self):
+        self.may_end = False
+        self.started = time.monotonic()
+        return super().start()
+
+    def signal(self, how):
+        if self.process.poll() is None:
+            self.process.send_signal(how)
+
+    def take_down(self, how):
+        with self.lock:
+            self.held_down += 1
+            self.may_end = True
+            self.signal(how)
+
+    def bring_back(self):
+        with self.lock:
+            self.held_down -= 1
+            if self.held_down == 0:
+                self.await_end()
+                self.start()
+
+    def await_end(self):
+        try:
+            self.process.wait(STOP_LIMIT_S)
+        except Exception:  # subprocess.TimeoutExpired
+            self.world.ledger.break_rule(
+                "STOP", "%s runs %g s after SIGTERM" % (self.name, STOP_LIMIT_S))
+            self.process.kill()
+            self.process.wait()
+        may_be = [0, -signal.SIGKILL]
+        if time.monotonic() < self.started + YOUNG_S:
+            may_be.append(-signal.SIGTERM)  # it had read nothing yet
+        if self.process.returncode not in may_be:
+            self.world.ledger.break_rule("STOP", "%s ended with %d" % (
+                self.name, self.process.returncode))
+
+    def pause(self, step):
+        with self.lock:
+            self.paused += step
+            self.signal(signal.SIGSTOP if self.paused else signal.SIGCONT)
+
+    def has_ended_by_itself(self):
+        with self.lock:
+            return not self.may_end and self.process.poll() is not None
+
+
+class World:
+    """All of it, and what each kind of fault does to it."""
+
+    def __init__(self, loop, ledger, folder, ips):
+        self.loop, self.ledger, self.folder = loop, ledger, folder
+        self.store = platform.Store()
+        self.version, self.weight, self.idle_s = 1, 50, 15
+        self.extra = {0}  # routes that come and go
+        self.lives = 0
+        self.servers, self.links = {}, {}
+        for slot in SERVERS:
+            self.links[slot] = Link(loop, "")
+            self.servers[slot] = SoakServer(self, slot, slot, self.links[slot])
+        self.configure()
+        self.instances = [Instance(self, number, ips) for number in range(len(ips))]
+
+    def configure(self):
+        mixed = [{"service": "plain", "weight": self.weight},
+                 {"service": "other", "weight": 100 - self.weight}]
+        document = platform.configuration(self.version, [
+            platform.route("plain", HOST, "/plain/", "plain"),
+            platform.route("book", HOST, "/book/", "plain", safe=False),
+            platform.route("mixed", HOST, "/mixed/", mixed),
+            platform.route("keyed", HOST, "/keyed/", "keyed"),
+            platform.route("hold", HOST, "/hold/", "keyed", safe=False)] + [
+            platform.route("extra%d" % number, HOST, "/extra%d/" % number, "other")
+            for number in sorted(self.extra)] + [
+            platform.service("plain"), platform.service("other"),
+            platform.service("keyed", keyed=True)])
+        document["resources"][-1]["spec"]["idleTimeoutS"] = self.idle_s
+        self.store.put("op", "config", document)
+
+    def clean_up(self):
+        for instance in self.instances:
+            instance.stop(signal.SIGKILL)
+            instance.store_door.http.end()
+        for server in self.ledger.servers:
+            if not server.dead:
+                server.die()
+
+    # Faults: each is begun and ended once. `ledger.disturb` was told.
+
+    def begin(self, fault):
+        kind, target, value = fault.kind, fault.target, fault.value
+        if target.startswith("node-"):
+            instance = self.instances[int(target[5:])]
+            if kind == "pause":
+                instance.pause(1)
+            elif kind == "hangup":
+                instance.write_settings(slack=50 + value % 20)
+                instance.signal(signal.SIGHUP)
+            else:
+                instance.take_down(signal.SIGTERM if kind == "stop"
+                                   else signal.SIGKILL)
+        elif target.startswith("link:"):
+            self.links[target[5:]].begin(kind, value)
+        elif target.startswith("door:"):
+            instance = self.instances[int(target[10:])]
+            if kind in ("busy", "silent", "drop"):
+                instance.store_door.fault = kind
+            else:
+                instance.door.begin(kind, value)
+        elif target == "config":
+            self.version += 1 + value % 5
+            self.weight = 10 + value % 81
+            self.idle_s = SHORTEST_IDLE_S + value % 11
+            self.extra ^= {value % 3}
+            self.configure()
+        elif target == "store":
+            self._store(kind, value)
+        else:
+            self._server(kind, self.servers[target])
+
+    def _store(self, kind, value):
+        if kind == "lossy":
+            self.store.lose_answers = 1 + value % 5
+        elif kind == "forget":
+            self.store.forget_history()
+        elif kind == "store_restored":
+            self.saved = self.store.copy()
+        else:
+            self.store.fault = kind
+
+    def _server(self, kind, server):
+        if kind == "drain":
+            server.register("draining")
+        elif kind == "crash":
+            server.die()
+        elif kind == "slow_clock":
+            server.clock_rate = 1.02
+        else:
+            server.fault = kind
+
+    def end(self, fault):
+        kind, target, value = fault.kind, fault.target, fault.value
+        if target.startswith("node-"):
+            instance = self.instances[int(target[5:])]
+            if kind == "pause":
+                instance.pause(-1)
+            elif kind in ("stop", "kill"):
+                instance.bring_back()
+        elif target.startswith("link:"):
+            self.links[target[5:]].end(kind)
+        elif target.startswith("door:"):
+            instance = self.instances[int(target[10:])]
+            if kind in ("busy", "silent", "drop"):
+                instance.store_door.fault = None
+            else:
+                instance.door.end(kind)
+        elif target == "store":
+            if kind == "store_restored":
+                self.store.restore(self.saved)
+            self.store.fault, self.store.lose_answers = None, 0
+        elif target in self.servers:
+            server = self.servers[target]
+            if kind == "drain" and not server.dead:
+                time.sleep(DRAIN_S)
+                self._leave(server)
+            if kind in ("drain", "crash"):
+                self._rejoin(target, value)
+            else:
+                server.fault = None
+                server.clock_rate = 1.0
+
+    @staticmethod
+    def _leave(server):
+        server.leave()
+        idle_since = time.monotonic()
+        while time.monotonic() < idle_since + 1.0:
+            if server.running:
+                idle_since = time.monotonic()
+            time.sleep(0.01)
+        server.die()
+
+    def _rejoin(self, slot, value):
+        """The next life: under its old id, or under a new one at a new address
+        while another server answers at the old one."""
+        with self.ledger.lock:
+            old = self.servers[slot]
+            if not old.dead:
+                return  # another fault's end has brought it back
+            self.lives += 1
+            if value % 2:
+                name, link = old.name, old.link
+            else:
+                old.leave()
+                name, link = "%s.%d" % (slot, self.lives), Link(self.loop, "")
+                link.faults = self.links[slot].faults.copy()
+                old.link.target = self.servers["other-0"].http.address
+                self.links[slot] = link
+            self.servers[slot] = SoakServer(self, slot, name, link)
