--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+import traceback
 import zlib
 
 from checks import Request
@@ -92,6 +93,9 @@
             except OSError:  # no connection: the instance is down
                 self.drop()
                 self.home += 1
+            except Exception:
+                self.ledger.break_rule("SOAK", traceback.format_exc())
+                raise
             time.sleep(self.rng.uniform(0.005, 0.08))
         self.drop()
 
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -98,7 +98,7 @@
         """A whole answer came. `own_crc` is that of its body."""
         with self.lock:
             request.note("answer %d" % status)
-            self.count("%dxx" % (status // 100))
+            self.count(str(status))
             signature = headers.get("response-signature")
             if headers.get("request-id", request.id) != request.id:
                 self.break_rule("MIXED", "answer of %s" % headers["request-id"],
--- a/test/soak/plan.py
+++ b/test/soak/plan.py
@@ -31,7 +31,7 @@
     """One kind of trouble again and again, at one target or at several."""
     kind = rng.choice(kinds)
     chosen = rng.sample(targets, k=min(len(targets), rng.choice((1, 1, 2))))
-    return kind, chosen, longest_s, rng.randint(1, 4)
+    return kind, chosen, longest_s, rng.randint(1, 5)
 
 
 def draw(seed, seconds, nodes, restores=False):
@@ -52,7 +52,7 @@
         disturbances.append((("store_restored",), ["store"], 4.0))
     choices = planned if seed % 4 == 0 else planned + disturbances
     series = [_series(rng, *rng.choice(choices))
-              for _ in range(rng.randint(4, 6) + nodes // 4)]
+              for _ in range(rng.randint(6, 10) + nodes // 4)]
     if restores:
         series.append(_series(rng, *disturbances[-1]))
     faults = []
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -8,11 +8,11 @@
 import argparse
 import os
 import shutil
-import signal
 import sys
 import tempfile
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import plan
 from callers import ROUTES, Caller
@@ -22,7 +22,7 @@
 from platform_world import use_build
 
 BACK_S = 60.0  # generous: all is served again so long after the last fault
-CALLERS = 12
+CALLERS = 20
 SHOWN = 5  # broken promises that are printed; all are in broken.txt
 
 
@@ -39,7 +39,8 @@
         self.world = World(self.loop, self.ledger, self.folder, ips)
         self.events = []
         self.ended = threading.Event()
-        self.late = []  # threads that end faults
+        self.ends = []  # of faults, some of which take a while
+        self.pool = ThreadPoolExecutor(max_workers=64)
         self.probers = 0
 
     def play(self):
@@ -53,8 +54,8 @@
             for caller in callers:
                 caller.start()
             self.do_faults()
-            for thread in self.late:
-                thread.join()
+            for end in self.ends:
+                end.result()
             self.await_service("after the last fault")
             self.stop_all()
         finally:
@@ -85,9 +86,8 @@
         for at, ends, fault in steps:
             time.sleep(max(0.0, start + at - time.monotonic()))
             if ends:
-                self.late.append(threading.Thread(
-                    target=self.end_fault, args=(fault, records[id(fault)])))
-                self.late[-1].start()
+                self.ends.append(self.pool.submit(self.end_fault, fault,
+                                                  records[id(fault)]))
             else:
                 self.note("begin %s" % fault)
                 records[id(fault)] = self.ledger.disturb(fault.target, fault.kind)
@@ -132,19 +132,16 @@
         for instance in self.world.instances:
             self.note("stop " + instance.name)
             record = self.ledger.disturb(instance.name, "stop")
-            instance.take_down(signal.SIGTERM)
+            instance.begin("stop")
             instance.await_end()
             record[2] = time.monotonic()
 
     def keep_logs(self):
-        with open(os.path.join(self.folder, "plan.txt"), "w", encoding="utf-8") as file:
-            file.writelines("%s\n" % fault for fault in self.faults)
-        with open(os.path.join(self.folder, "events.txt"), "w",
-                  encoding="utf-8") as file:
-            file.writelines(line + "\n" for line in self.events)
-        with open(os.path.join(self.folder, "broken.txt"), "w",
-                  encoding="utf-8") as file:
-            file.writelines(text + "\n" for text in self.ledger.broken)
+        for name, lines in (("plan", self.faults), ("events", self.events),
+                            ("broken", self.ledger.broken)):
+            path = os.path.join(self.folder, name + ".txt")
+            with open(path, "w", encoding="utf-8") as file:
+                file.writelines("%s\n" % line for line in lines)
 
 
 def play(seed, options):
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -2,6 +2,7 @@
 import os
 import random
 import signal
+import subprocess
 import sys
 import threading
 import time
@@ -15,6 +16,7 @@
 from proxy import Link  # noqa: E402
 
 platform.Server.request_queue_size = 256  # bursts of connections find room
+TURNED_AWAY = ("busy", "silent", "drop")  # faults of a door
 DRAIN_S = 2.0
 GRACE_S = 6.0  # as Node.write_settings says
 YOUNG_S = 1.0  # so long after its start a process may not listen to signals
@@ -185,6 +187,50 @@
         handler.answer(answered.status, headers=answered.headers)
 
 
+class StoreFaults:
+    """What the store does to all of its callers."""
+
+    saved = None
+
+    def __init__(self, store):
+        self.store = store
+
+    def begin(self, kind, value):
+        if kind == "lossy":
+            self.store.lose_answers = 1 + value % 5
+        elif kind == "forget":
+            self.store.forget_history()
+        elif kind == "store_restored":
+            StoreFaults.saved = self.store.copy()
+        else:
+            self.store.fault = kind
+
+    def end(self, kind):
+        if kind == "store_restored":
+            self.store.restore(StoreFaults.saved)
+        self.store.fault, self.store.lose_answers = None, 0
+
+
+class DoorLink(Link):
+    """An instance's way to the store; its door may turn it away as well."""
+
+    def __init__(self, loop, door):
+        super().__init__(loop, door.address)
+        self.door = door
+
+    def begin(self, kind, value=0):
+        if kind in TURNED_AWAY:
+            self.door.fault = kind
+        else:
+            super().begin(kind, value)
+
+    def end(self, kind):
+        if kind in TURNED_AWAY:
+            self.door.fault = None
+        else:
+            super().end(kind)
+
+
 class Instance(Node):
     """A real process; faults that overlap are counted."""
 
@@ -193,8 +239,7 @@
         self.world, self.name = world, "node-%d" % number
         self.ip, self.domain = ips[number], "ab"[number % 2]
         self.seeds = [ip + ":8649" for ip in ips]
-        self.store_door = self.door
-        self.door = Link(world.loop, self.store_door.address)
+        self.door = DoorLink(world.loop, self.door)
         self.held_down = self.paused = 0
         self.may_end = True
         self.lock = threading.Lock()
@@ -203,44 +248,60 @@
     def start(self):
         self.may_end = False
         self.started = time.monotonic()
-        return super().start()
+        super().start()
+        self.process.hit_young = False
+        return self
+
+    def is_young(self):
+        """It may not have installed its handlers, and has read nothing."""
+        return time.monotonic() < self.started + YOUNG_S
 
     def signal(self, how):
         if self.process.poll() is None:
             self.process.send_signal(how)
 
-    def take_down(self, how):
+    def begin(self, kind, value=0):
         with self.lock:
-            self.held_down += 1
-            self.may_end = True
-            self.signal(how)
+            if kind == "pause":
+                self.paused += 1
+                self.signal(signal.SIGSTOP)
+            elif kind == "hangup":
+                self.write_settings(slack=50 + value % 20)
+                if not self.is_young():
+                    self.signal(signal.SIGHUP)
+            else:
+                self.held_down += 1
+                self.may_end = True
+                self.process.hit_young |= self.is_young()
+                self.signal(signal.SIGTERM if kind == "stop" else signal.SIGKILL)
 
-    def bring_back(self):
+    def end(self, kind):
         with self.lock:
+            if kind == "pause":
+                self.paused -= 1
+                if not self.paused:
+                    self.signal(signal.SIGCONT)
+            if kind not in ("stop", "kill"):
+                return
             self.held_down -= 1
-            if self.held_down == 0:
-                self.await_end()
+        self.await_end()  # a pause may end meanwhile
+        with self.lock:
+            if not self.held_down and self.may_end:
                 self.start()
 
     def await_end(self):
+        process = self.process  # another fault's end may start the next one
         try:
-            self.process.wait(STOP_LIMIT_S)
-        except Exception:  # subprocess.TimeoutExpired
+            process.wait(STOP_LIMIT_S)
+        except subprocess.TimeoutExpired:
             self.world.ledger.break_rule(
                 "STOP", "%s runs %g s after SIGTERM" % (self.name, STOP_LIMIT_S))
-            self.process.kill()
-            self.process.wait()
-        may_be = [0, -signal.SIGKILL]
-        if time.monotonic() < self.started + YOUNG_S:
-            may_be.append(-signal.SIGTERM)  # it had read nothing yet
-        if self.process.returncode not in may_be:
+            process.kill()
+            process.wait()
+        may_be = (0, -signal.SIGKILL) + ((-signal.SIGTERM,) if process.hit_young else ())
+        if process.returncode not in may_be:
             self.world.ledger.break_rule("STOP", "%s ended with %d" % (
-                self.name, self.process.returncode))
-
-    def pause(self, step):
-        with self.lock:
-            self.paused += step
-            self.signal(signal.SIGSTOP if self.paused else signal.SIGCONT)
+                self.name, process.returncode))
 
     def has_ended_by_itself(self):
         with self.lock:
@@ -282,94 +343,59 @@
     def clean_up(self):
         for instance in self.instances:
             instance.stop(signal.SIGKILL)
-            instance.store_door.http.end()
+            instance.door.door.http.end()
         for server in self.ledger.servers:
             if not server.dead:
                 server.die()
 
-    # Faults: each is begun and ended once. `ledger.disturb` was told.
+    # Faults: each is begun and ended once. What has none of these is a server.
 
-    def begin(self, fault):
-        kind, target, value = fault.kind, fault.target, fault.value
-        if target.startswith("node-"):
-            instance = self.instances[int(target[5:])]
-            if kind == "pause":
-                instance.pause(1)
-            elif kind == "hangup":
-                instance.write_settings(slack=50 + value % 20)
-                instance.signal(signal.SIGHUP)
-            else:
-                instance.take_down(signal.SIGTERM if kind == "stop"
-                                   else signal.SIGKILL)
-        elif target.startswith("link:"):
-            self.links[target[5:]].begin(kind, value)
-        elif target.startswith("door:"):
-            instance = self.instances[int(target[10:])]
-            if kind in ("busy", "silent", "drop"):
-                instance.store_door.fault = kind
-            else:
-                instance.door.begin(kind, value)
-        elif target == "config":
-            self.version += 1 + value % 5
-            self.weight = 10 + value % 81
-            self.idle_s = SHORTEST_IDLE_S + value % 11
-            self.extra ^= {value % 3}
-            self.configure()
-        elif target == "store":
-            self._store(kind, value)
-        else:
-            self._server(kind, self.servers[target])
+    def _target(self, target):
+        group, _, name = target.rpartition(":")
+        if group == "link":
+            return self.links[name]
+        instances = {instance.name: instance for instance in self.instances}
+        if group == "door":
+            return instances[name].door
+        return {"config": self, "store": StoreFaults(self.store)}.get(
+            target) or instances.get(target)
 
-    def _store(self, kind, value):
-        if kind == "lossy":
-            self.store.lose_answers = 1 + value % 5
-        elif kind == "forget":
-            self.store.forget_history()
-        elif kind == "store_restored":
-            self.saved = self.store.copy()
+    def begin(self, fault):
+        target = self._target(fault.target)
+        if target is self:
+            self._change(fault.value)
+        elif target:
+            target.begin(fault.kind, fault.value)
+        elif fault.kind == "crash":
+            self.servers[fault.target].die()
+        elif fault.kind == "drain":
+            self.servers[fault.target].register("draining")
+        elif fault.kind == "slow_clock":
+            self.servers[fault.target].clock_rate = 1.02
         else:
-            self.store.fault = kind
+            self.servers[fault.target].fault = fault.kind
 
-    def _server(self, kind, server):
-        if kind == "drain":
-            server.register("draining")
-        elif kind == "crash":
-            server.die()
-        elif kind == "slow_clock":
-            server.clock_rate = 1.02
+    def end(self, fault):
+        target = self._target(fault.target)
+        if target is self:
+            return
+        if target:
+            return target.end(fault.kind)
+        server = self.servers[fault.target]
+        if fault.kind == "drain" and not server.dead:
+            time.sleep(DRAIN_S)
+            self._leave(server)
+        if fault.kind in ("drain", "crash"):
+            self._rejoin(fault.target, fault.value)
         else:
-            server.fault = kind
+            server.fault, server.clock_rate = None, 1.0
 
-    def end(self, fault):
-        kind, target, value = fault.kind, fault.target, fault.value
-        if target.startswith("node-"):
-            instance = self.instances[int(target[5:])]
-            if kind == "pause":
-                instance.pause(-1)
-            elif kind in ("stop", "kill"):
-                instance.bring_back()
-        elif target.startswith("link:"):
-            self.links[target[5:]].end(kind)
-        elif target.startswith("door:"):
-            instance = self.instances[int(target[10:])]
-            if kind in ("busy", "silent", "drop"):
-                instance.store_door.fault = None
-            else:
-                instance.door.end(kind)
-        elif target == "store":
-            if kind == "store_restored":
-                self.store.restore(self.saved)
-            self.store.fault, self.store.lose_answers = None, 0
-        elif target in self.servers:
-            server = self.servers[target]
-            if kind == "drain" and not server.dead:
-                time.sleep(DRAIN_S)
-                self._leave(server)
-            if kind in ("drain", "crash"):
-                self._rejoin(target, value)
-            else:
-                server.fault = None
-                server.clock_rate = 1.0
+    def _change(self, value):
+        self.version += 1 + value % 5
+        self.weight = 10 + value % 81
+        self.idle_s = SHORTEST_IDLE_S + value % 11
+        self.extra ^= {value % 3}
+        self.configure()
 
     @staticmethod
     def _leave(server):
