--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -19,6 +19,7 @@
           ("/hold/", "POST", False, True, ("keyed",), True),
           ("/extra", "GET", True, False, ("other",), False))
 SAFE = tuple(route for route in ROUTES if route[2])
+UNSAFE = tuple(route for route in ROUTES if not route[2])
 
 
 class Ended(Exception):
@@ -100,7 +101,8 @@
         self.drop()
 
     def draw(self, routes):
-        prefix, method, safe, keyed, services, permanent = self.rng.choice(routes)
+        prefix, method, safe, keyed, services, permanent = self.rng.choice(
+            routes + UNSAFE if routes is ROUTES else routes)
         self.made += 1
         if not permanent:
             prefix += "%d/" % self.rng.randrange(3)
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -202,8 +202,8 @@
         now = time.monotonic()
         with self.lock:
             slot = server.name.split(".")[0]
-            late = self.disturbed({"link:" + slot}, now, now, after_s=THAW_S,
-                                  kinds=("cut_there", "silence")) or self.disturbed(
+            late = self.disturbed({slot, "link:" + slot}, now, now, after_s=THAW_S,
+                                  kinds=("cut_there", "silence", "cut_off")) or self.disturbed(
                 {target for target, *_ in self.disturbances}, now, now, ("pause",),
                 THAW_S)
             faults = list(self._clashes(server, first, last, fence, now))
--- a/test/soak/plan.py
+++ b/test/soak/plan.py
@@ -4,8 +4,10 @@
 
 SERVERS = ("plain-0", "plain-1", "plain-2", "other-0", "other-1",
            "keyed-0", "keyed-1", "keyed-2")
+KEYED = SERVERS[-3:]
 REST_S = 2.0  # calm at the start and before the end
 
+# "unlisted": its entry lapses though it lives; "cut_off": it is silent as well.
 LINK = ("delay", "reset", "cut_there", "cut_back", "silence")
 ANSWERS = ("shed", "grey", "error", "truncate", "late", "extra", "unsigned",
            "garbage", "slow")
@@ -44,7 +46,9 @@
                (("change",), ["config"], 0.1), (("drain",), list(SERVERS), 4.0)]
     disturbances = [
         (("kill",), instances, 2.0), (("pause",), instances, 3.0),
-        (LINK, links, 3.0), (LINK, links, 3.0), (LINK, doors, 5.0),
+        (LINK, links, 4.0), (LINK, links, 8.0), (LINK, doors, 6.0),
+        (("unlisted", "cut_off"), list(SERVERS), 9.0),
+        (("unlisted", "cut_off"), KEYED, 9.0),
         (("busy", "silent", "drop"), doors, 6.0), (STORE, ["store"], 5.0),
         (("crash",), list(SERVERS), 4.0), (ANSWERS, list(SERVERS), 4.0),
         (("slow_clock",), list(SERVERS), 5.0)]
@@ -62,8 +66,9 @@
             for target in targets:
                 begin = at + rng.uniform(0, 0.4)
                 end = begin + rng.uniform(0.05, 1) * longest_s
+                end = min(end, seconds - REST_S / 2)
                 value = rng.randrange(1 << 16)
-                if end < seconds - REST_S:
+                if end > begin:
                     faults.append(Fault(round(begin, 3), round(end, 3), kind,
                                         target, value))
             at += rng.uniform(0.2, 4.0)
--- a/test/soak/proxy.py
+++ b/test/soak/proxy.py
@@ -95,6 +95,7 @@
         self.loop, self.target = loop, target
         self.faults = collections.Counter()  # those of a kind may overlap
         self.delay_s = 0.0
+        self.reset_s = None  # age at which a connection is reset; None: at once
         self.ends = set()
         self.address = loop.do(self._listen())
 
@@ -106,7 +107,7 @@
     async def connect(self, caller):
         host, port = self.target.split(":")
         try:
-            if self.has("reset"):
+            if self.has("reset") and self.reset_s is None:
                 raise OSError("the link resets")
             _, server = await asyncio.get_running_loop().create_connection(
                 lambda: End(self, "cut_back"), host, int(port))
@@ -115,6 +116,8 @@
         if caller.transport.is_closing():
             return server.reset()
         caller.peer, server.peer = server, caller
+        if self.has("reset"):
+            asyncio.get_running_loop().call_later(self.reset_s, caller.reset)
         caller.flush()
         return server.flush()
 
@@ -128,6 +131,8 @@
         self.faults[kind] += step
         if kind == "delay" and step > 0:
             self.delay_s = 0.01 + (value % 300) / 1000
+        if kind == "reset" and step > 0:
+            self.reset_s = None if value % 4 == 0 else (value % 500) / 1000
         for end in list(self.ends):
             if kind == "reset" and step > 0:
                 end.reset()
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -8,6 +8,7 @@
 import argparse
 import os
 import shutil
+import signal
 import sys
 import tempfile
 import threading
@@ -189,8 +190,8 @@
                         help="a seed to play; may be given more than once")
     parser.add_argument("--seeds", type=seed_range, default=range(0), metavar="A-B",
                         help="seeds to play one after the other")
-    parser.add_argument("--seconds", type=bounded(5, 3600), default=15, metavar="S",
-                        help="how long faults go on in each run (default 15)")
+    parser.add_argument("--seconds", type=bounded(5, 3600), default=18, metavar="S",
+                        help="how long faults go on in each run (default 18)")
     parser.add_argument("--nodes", type=bounded(1, 60), default=4, metavar="N",
                         help="instances (default 4)")
     parser.add_argument("--address", type=bounded(60, 190), default=60, metavar="N",
@@ -221,6 +222,7 @@
                 print(fault)
         return 0
     use_build(options.build)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit("soak.py: stopped"))
     failed = [seed for seed in options.play if not play(seed, options)]
     print("%d of %d seeds kept all promises; failed: %s" % (
         len(options.play) - len(failed), len(options.play), failed or "none"))
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -17,6 +17,7 @@
 
 platform.Server.request_queue_size = 256  # bursts of connections find room
 TURNED_AWAY = ("busy", "silent", "drop")  # faults of a door
+UNLISTED = ("unlisted", "cut_off")
 DRAIN_S = 2.0
 GRACE_S = 6.0  # as Node.write_settings says
 YOUNG_S = 1.0  # so long after its start a process may not listen to signals
@@ -68,6 +69,15 @@
             self.dead = True
         self.stop()
 
+    def unlist(self, kind, step):
+        """Its heartbeats stay away, or come again."""
+        if kind == "cut_off":
+            self.link.begin("silence") if step > 0 else self.link.end("silence")
+        if step > 0:
+            self.leave()
+        elif not self.dead:
+            self.register()
+
     def serve(self, handler):
         try:
             body = self._body(handler)
@@ -372,6 +382,8 @@
             self.servers[fault.target].register("draining")
         elif fault.kind == "slow_clock":
             self.servers[fault.target].clock_rate = 1.02
+        elif fault.kind in UNLISTED:
+            self.servers[fault.target].unlist(fault.kind, 1)
         else:
             self.servers[fault.target].fault = fault.kind
 
@@ -385,7 +397,9 @@
         if fault.kind == "drain" and not server.dead:
             time.sleep(DRAIN_S)
             self._leave(server)
-        if fault.kind in ("drain", "crash"):
+        if fault.kind in UNLISTED:
+            server.unlist(fault.kind, -1)
+        elif fault.kind in ("drain", "crash"):
             self._rejoin(fault.target, fault.value)
         else:
             server.fault, server.clock_rate = None, 1.0
