--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 SOURCES = $(shell git ls-files -co --exclude-standard '*.h' '*.cc')
 UNITS = $(filter %.cc,$(SOURCES))
 
-.PHONY: install build lint format test check demo bench clean
+.PHONY: install build lint format test check demo bench soak clean
 install:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
 	  ($(SUDO) apt-get update -qq && \
@@ -42,5 +42,9 @@
 bench: build
 	@tools/bench $(BUILD)
 
+SEEDS := 1-50
+soak: build
+	@python3 test/soak/soak.py --build $(BUILD) --seeds $(SEEDS) --kept
+
 clean:
 	rm -rf $(BUILD)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -20,9 +20,10 @@
 from checks import Ledger
 from proxy import Loop
 from world import TIMEOUT_S, World  # puts the stand-ins on the path
-from platform_world import use_build
+from platform_world import Store, use_build
 
 BACK_S = 60.0  # generous: all is served again so long after the last fault
+STOPS_APART_S = 1.0
 CALLERS = 20
 SHOWN = 5  # broken promises that are printed; all are in broken.txt
 
@@ -129,13 +130,16 @@
             prober.drop()
 
     def stop_all(self):
-        """A planned stop of everything, while callers go on."""
+        """Planned stops of everything that overlap, while callers go on."""
+        ends = []
         for instance in self.world.instances:
             self.note("stop " + instance.name)
-            record = self.ledger.disturb(instance.name, "stop")
+            self.ledger.disturb(instance.name, "stop")
             instance.begin("stop")
-            instance.await_end()
-            record[2] = time.monotonic()
+            ends.append(self.pool.submit(instance.await_end))
+            time.sleep(STOPS_APART_S)
+        for end in ends:
+            end.result()
 
     def keep_logs(self):
         for name, lines in (("plan", self.faults), ("events", self.events),
@@ -163,6 +167,16 @@
     return False
 
 
+def kept_seeds(options):
+    """The seeds that failed once, with the options of their run."""
+    with open(os.path.join(os.path.dirname(__file__), "seeds.txt"),
+              encoding="utf-8") as file:
+        lines = [line.split()[:3] for line in file if not line.startswith("#")]
+    for seed, seconds, nodes in lines:
+        changed = dict(vars(options), seconds=float(seconds), nodes=int(nodes))
+        yield int(seed), argparse.Namespace(**changed)
+
+
 class Options(argparse.ArgumentParser):
     def error(self, message):
         self.exit(2, "soak.py: %s\n" % message)
@@ -200,12 +214,18 @@
                         help="where bin/chervilmux-node is (default build)")
     parser.add_argument("--restores", action="store_true",
                         help="the store also goes back to an older state")
+    parser.add_argument("--kept", action="store_true",
+                        help="also play the seeds of seeds.txt, which failed once")
     parser.add_argument("--plan", action="store_true",
                         help="print the faults and play nothing")
     options = parser.parse_args(arguments)
-    options.play = options.seed + list(options.seeds)
-    if not options.play:
-        parser.error("no seed: give --seed N or --seeds A-B")
+    options.play = [(seed, options) for seed in options.seed + list(options.seeds)]
+    if options.kept:
+        options.play += kept_seeds(options)
+    if not options.play and not options.kept:
+        parser.error("no seed: give --seed N, --seeds A-B or --kept")
+    if options.restores and not hasattr(Store, "restore"):
+        parser.error("--restores: the stand-in of the store can't be restored yet")
     if not options.plan and not os.access(
             os.path.join(options.build, "bin", "chervilmux-node"), os.X_OK):
         parser.error("no bin/chervilmux-node in '%s'" % options.build)
@@ -215,15 +235,14 @@
 def main(arguments):
     options = parse(arguments)
     if options.plan:
-        for seed in options.play:
+        for seed, asked in options.play:
             print("seed %d" % seed)
-            for fault in plan.draw(seed, options.seconds, options.nodes,
-                                   options.restores):
+            for fault in plan.draw(seed, asked.seconds, asked.nodes, asked.restores):
                 print(fault)
         return 0
     use_build(options.build)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit("soak.py: stopped"))
-    failed = [seed for seed in options.play if not play(seed, options)]
+    failed = [seed for seed, asked in options.play if not play(seed, asked)]
     print("%d of %d seeds kept all promises; failed: %s" % (
         len(options.play) - len(failed), len(options.play), failed or "none"))
     return 1 if failed else 0
