--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -255,6 +255,13 @@
         self.lock = threading.Lock()
         self.write_settings()
 
+    def write_settings(self, slack=50):
+        """At once: a process that is starting reads the old file or the new one."""
+        path, self.path = self.path, self.path + ".new"
+        super().write_settings(slack)
+        os.replace(self.path, path)
+        self.path = path
+
     def start(self):
         self.may_end = False
         self.started = time.monotonic()
