--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -6,9 +6,11 @@
 never come from speed. Logs of a failed seed are kept, those of others deleted.
 """
 import argparse
+import contextlib
 import os
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import threading
@@ -232,6 +234,16 @@
     return options
 
 
+def taken(options):
+    """The first address of the run at which another process listens."""
+    for number in range(options.nodes):
+        ip = "127.0.0.%d" % (options.address + number)
+        with contextlib.suppress(OSError):
+            socket.create_connection((ip, 8641), timeout=1).close()
+            return ip
+    return None
+
+
 def main(arguments):
     options = parse(arguments)
     if options.plan:
@@ -240,6 +252,9 @@
             for fault in plan.draw(seed, asked.seconds, asked.nodes, asked.restores):
                 print(fault)
         return 0
+    if ip := taken(options):
+        print("soak.py: another process listens at %s:8641" % ip, file=sys.stderr)
+        return 2
     use_build(options.build)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit("soak.py: stopped"))
     failed = [seed for seed, asked in options.play if not play(seed, asked)]
