--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -43,6 +43,10 @@
   ErrorKind refusal = ErrorKind::kNoOwner;
   std::string why;
   Duration retry_after = kNoOwnerRetryAfter;
+  /// What a server said that withholds the request from it.
+  std::optional<policy::NoticeKind> withheld_by;
+  /// The servers in question want no requests for so long; zero otherwise.
+  Duration back_off_left{0};
 
   static DispatchDecision SendTo(std::string id) {
     DispatchDecision decision;
@@ -50,6 +54,12 @@
     decision.server_id = std::move(id);
     return decision;
   }
+  static DispatchDecision BackOff(std::string why, Duration left) {
+    auto decision = RefuseWith(ErrorKind::kServerShed, std::move(why));
+    decision.withheld_by = policy::NoticeKind::kBackOff;
+    decision.back_off_left = left;
+    return decision;
+  }
   static DispatchDecision RefuseWith(ErrorKind kind, std::string why,
                                      Duration wait = kNoOwnerRetryAfter) {
     DispatchDecision decision;
@@ -236,19 +246,36 @@
       this->Enqueue(job, state, now);
       return;
     case DispatchDecision::Kind::kRefuse:
-      this->Refuse(job, decision.refusal, decision.why, decision.retry_after);
+      this->Refuse(job, decision);
       return;
   }
 }
 
+void Dispatcher::Refuse(Job& job, const DispatchDecision& decision) {
+  if (decision.withheld_by) this->CountWithheld(job, *decision.withheld_by);
+  if (decision.back_off_left.count() > 0) {
+    this->RefuseUntil(job, decision.refusal, decision.why,
+                      decision.back_off_left);
+    return;
+  }
+  this->Refuse(job, decision.refusal, decision.why, decision.retry_after);
+}
+
 Dispatcher::DispatchDecision Dispatcher::FindServer(Job& job,
                                                     ServiceState& state,
                                                     Instant now) {
   if (job.keyed) return this->FindOwner(job, state, now);
   if (state.loads.UsableSlots(now) == 0) {
-    return DispatchDecision::RefuseWith(
+    if (const auto left = state.loads.ShortestBackOffLeft(now)) {
+      return DispatchDecision::BackOff(
+          "no backend server of the service wants requests now", *left);
+    }
+    auto refusal = DispatchDecision::RefuseWith(
         ErrorKind::kServerConnect, "the service has no usable backend server",
         kNotReadyRetryAfter);
+    if (const auto notice = state.loads.NewestNotice(now))
+      refusal.withheld_by = notice->kind;
+    return refusal;
   }
   // `first` is whether no other request goes first: a new request is not sent
   // before requests that already wait.
@@ -292,11 +319,19 @@
         "the key's owner is no longer a registered server");
   }
   // A draining owner still serves its keys until they have moved.
-  if (state.loads.MaxDrainingTime(range->owner, now) >
-      model::kLeavingServerGracePeriod) {
-    return DispatchDecision::RefuseWith(
+  const auto drain_deadline = state.loads.DrainDeadline(range->owner);
+  if (drain_deadline && now > *drain_deadline) {
+    auto refusal = DispatchDecision::RefuseWith(
         ErrorKind::kNoOwner,
         "the key's owner is draining and its keys have not moved in time");
+    if (state.loads.FindNotice(range->owner, true, now))
+      refusal.withheld_by = policy::NoticeKind::kDraining;
+    return refusal;
+  }
+  const Duration back_off_left = state.loads.BackOffLeft(range->owner, now);
+  if (back_off_left.count() > 0) {
+    return DispatchDecision::BackOff("the key's owner wants no requests now",
+                                     back_off_left);
   }
   if (state.loads.IsEjected(range->owner, now)) {
     return DispatchDecision::RefuseWith(
@@ -373,7 +408,7 @@
     if (decision.kind == DispatchDecision::Kind::kSend) {
       this->Send(job, state, decision.server_id, now);
     } else {
-      this->Refuse(job, decision.refusal, decision.why, decision.retry_after);
+      this->Refuse(job, decision);
     }
   }
 }
@@ -389,6 +424,7 @@
   const model::BackendServer& server = *found->second;
   state.loads.OnSent(server_id);
   job.server_id = server_id;
+  job.server_life = server.life;
   job.server_address = server.address;
   job.sent_at = now;
   net::Exchange exchange;
@@ -418,6 +454,10 @@
     return this->wire.MakeServerRequest(waiting.request, server,
                                         waiting.deadline - kernel::Now());
   };
+  exchange.may_send = [this, &state, keyed = job.keyed,
+                       run = policy::ServerRun{server_id, server.life}] {
+    return state.loads.MaySend(run, keyed, kernel::Now());
+  };
   exchange.belongs = [this,
                       id = job.metadata.id](const net::HttpAnswer& answer) {
     return this->wire.MatchesRequest(answer, id);
--- a/src/dispatch/wire.h
+++ b/src/dispatch/wire.h
@@ -38,6 +38,13 @@
   bool status_implies_not_run = false;
   bool names_request = false;     ///< States the id of its request.
   bool signed_by_server = false;  ///< Has the server's signature header.
+  /// The server states that it is about to leave.
+  bool draining = false;
+  /// The server asks for no requests for so long.
+  std::optional<kernel::Duration> back_off;
+  /// A statement of the server that cannot be read, as it was sent; empty when
+  /// there is none.
+  std::string unreadable;
   std::optional<policy::ReportedLoad> load;
 };
 
--- a/src/net/server_links.h
+++ b/src/net/server_links.h
@@ -46,6 +46,9 @@
   /// took long: the time that it leaves its server has changed. Without it such
   /// a request is not sent.
   std::function<HttpRequest()> renew;
+  /// Asked likewise: whether the request may still go to this server. Otherwise
+  /// the transfer ends as kWithheld.
+  std::function<bool()> may_send;
   /// Whether an answer belongs to this request; others are thrown away.
   std::function<bool(const HttpAnswer&)> belongs;
   TransferDone done;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -79,15 +79,19 @@
                           std::string(this->formats.ConfigurationTable()),
                           kProofWait,
                           {[this] { this->OnConfiguration(); },
-                           [this] { this->OnProofFailed(); }}),
+                           [this] { this->OnProofFailed(); },
+                           [this](auto era) { this->OnLaterEra(era); }}),
       server_table(this->store, std::string(this->formats.ServerTable()),
                    kFollowWait,
                    {[this] { this->OnServerRows(); },
-                    [this] { this->NoteStoreTrouble(kernel::Now()); }}),
+                    [this] { this->NoteStoreTrouble(kernel::Now()); },
+                    [this](auto era) { this->OnLaterEra(era); }}),
       instances_table(this->store, std::string(kInstancesTable), kFollowWait,
-                      {[this] { this->OnInstances(); }, [] {}}),
+                      {[this] { this->OnInstances(); }, [] {},
+                       [this](auto era) { this->OnLaterEra(era); }}),
       ranges_table(this->store, std::string(kRangesTable), kFollowWait,
-                   {[this] { this->OnRanges(); }, [] {}}) {
+                   {[this] { this->OnRanges(); }, [] {},
+                    [this](auto era) { this->OnLaterEra(era); }}) {
   this->registry.Add("server_links", this->links);
   this->links.SetMaxBufferedBytes(static_cast<std::size_t>(
       kAnswersShareOfMemory *
@@ -221,6 +225,11 @@
   for (TableFollower* follower : this->Followers()) follower->Renew(now);
 }
 
+/// Other tables' calls may wait for changes of the earlier era for seconds.
+void Node::OnLaterEra(std::uint64_t era) {
+  for (TableFollower* follower : this->Followers()) follower->NoteEra(era);
+}
+
 void Node::NoteStoreTrouble(Instant at) {
   this->store_trouble_at = std::max(this->store_trouble_at, at);
   this->servers.NoteStoreTrouble(at);
@@ -233,12 +242,14 @@
   const store::Row& row = found->second;
   auto decoded = this->formats.DecodeConfiguration(row.value);
   if (!decoded) {
-    if (row.version != this->bad_configuration_row) {
+    const replica::TableVersion bad_row{this->configuration_table.Copy().Era(),
+                                        row.version};
+    if (bad_row != this->bad_configuration_row) {
       observe::LogError("configuration_invalid",
                         {{"row_version", std::to_string(row.version)},
                          {"why", decoded.error().detail}});
     }
-    this->bad_configuration_row = row.version;
+    this->bad_configuration_row = bad_row;
     return;
   }
   const bool newer = !this->configuration ||
@@ -335,6 +346,9 @@
                      {{"id", id}, {"why", decoded.error().detail}});
   }
   this->unusable_rows = std::move(unusable);
+  const std::uint64_t era = this->server_table.Copy().Era();
+  if (era > this->servers_era) this->servers.NoteRestored();
+  this->servers_era = era;
   this->servers.Update(listed, this->servers_true_until, kernel::Now());
 }
 
@@ -357,11 +371,15 @@
 }
 
 void Node::OnInstances() {
-  InstancesByName instances;
+  // Rows are never removed: those that are missing were lost with an earlier
+  // era of the store, and their instances register themselves again.
+  InstancesByName instances = this->readers.Instances();
   for (const auto& [name, row] : this->instances_table.Copy().Rows()) {
     auto decoded = DecodeInstance(row.value);
     if (decoded) {
-      instances[name] = std::move(decoded.value());
+      InstanceRecord& known = instances[name];
+      if (decoded.value().life >= known.life)
+        known = std::move(decoded.value());
     } else {
       observe::LogWarn("instance_row_unusable",
                        {{"name", name}, {"why", decoded.error().detail}});
@@ -372,34 +390,47 @@
 }
 
 void Node::OnRanges() {
-  for (const auto& [name, row] : this->ranges_table.Copy().Rows()) {
-    const auto service = this->key_services.find(name);
-    if (service == this->key_services.end()) continue;
+  for (const auto& [key, row] : this->ranges_table.Copy().Rows()) {
     auto decoded = ranges::DecodeTable(row.value);
-    if (decoded) {
-      service->second->OnView(decoded.value(), false);
-    } else {
+    if (!decoded) {
       observe::LogError("owners_unreadable",
-                        {{"service", name}, {"why", decoded.error().detail}});
+                        {{"row", key}, {"why", decoded.error().detail}});
+      continue;
     }
+    const auto service = this->key_services.find(decoded.value().service);
+    if (service == this->key_services.end()) continue;
+    service->second->OnView(decoded.value(), false);
   }
 }
 
+bool Node::RegistrationIsLost() {
+  const replica::RowReplica& copy = this->instances_table.Copy();
+  if (this->registration_checked == copy.AsOf()) return false;
+  this->registration_checked = copy.AsOf();
+  if (copy.AsOf() < this->registered_at) return false;
+  const auto row = copy.Rows().find(this->self.name);
+  if (row == copy.Rows().end()) return true;
+  const auto decoded = DecodeInstance(row->second.value);
+  return !decoded || decoded.value().life < this->self.life;
+}
+
 /// Registers this start of the instance, with a life above that of all earlier
-/// ones of its name even if the wall clock went back.
+/// ones of its name even if the wall clock went back. The life stays the same
+/// when the store has lost the row and it is written again.
 void Node::Register() {
   const Instant now = kernel::Now();
   const bool known = this->instances_table.Listed() ||
                      this->instances_table.Copy().Version() > 0;
-  if (this->registered || this->registering || !known ||
-      now < this->next_register) {
-    return;
-  }
+  if (this->registering || !known || now < this->next_register) return;
+  if (this->registered && !this->RegistrationIsLost()) return;
   this->registering = true;
-  const auto earlier = this->readers.Instances().find(this->self.name);
-  const std::uint64_t floor =
-      earlier == this->readers.Instances().end() ? 0 : earlier->second.life + 1;
-  this->self.life = std::max({this->self.life, WallMs(), floor});
+  if (!this->registered) {
+    const auto earlier = this->readers.Instances().find(this->self.name);
+    const std::uint64_t floor = earlier == this->readers.Instances().end()
+                                    ? 0
+                                    : earlier->second.life + 1;
+    this->self.life = std::max({this->self.life, WallMs(), floor});
+  }
   store::Transaction transaction;
   store::Row& row = transaction.writes.emplace_back();
   row.table = std::string(kInstancesTable);
@@ -408,8 +439,10 @@
   this->store.Commit(transaction, [this](const store::CommitReply& reply) {
     this->registering = false;
     this->next_register = kernel::Now() + kRegisterRetry;
-    this->registered = reply.status == store::StoreStatus::kDone;
-    if (!this->registered) return;
+    this->registration_checked.reset();
+    if (reply.status != store::StoreStatus::kDone) return;
+    this->registered = true;
+    this->registered_at = {reply.era, reply.version};
     observe::LogInfo("registered", {{"life", std::to_string(this->self.life)}});
     for (const auto& [name, service] : this->key_services) {
       service->Grantor().EnableLeadership(this->self.life);
--- a/test/fakes/data_path_ends.h
+++ b/test/fakes/data_path_ends.h
@@ -211,6 +211,7 @@
       exchange.may_repeat = may_repeat;
       exchange.max_idle = this->max_idle;
       exchange.is_wanted = [this] { return this->is_wanted; };
+      exchange.may_send = [this] { return this->may_send; };
       if (this->renews) {
         exchange.renew = [request = exchange.request] {
           HttpRequest renewed = request;
@@ -258,6 +259,7 @@
   TransferId last = 0;
   std::size_t max_idle = 100;
   bool is_wanted = true;
+  bool may_send = true;
   bool renews = true;  ///< Requests may be sent late, as they are then.
 };
 
