The stand-in's store lists a table and its version at one moment

Cause: the version in a listing was read after the rows, without the lock. A row written in between was missing from the listing and older than its version, so that the instance never asked for it: a loss that the published protocol does not have. Change: rows and version are read and answered under the lock. Measured: platform_StoreAway, SomeTurnedAway and NothingKnown pass three times. The race was found by reading while the red run of platform_SomeTurnedAway was traced; with 30 ms between the two reads 16 of 16 runs of that test passed, so it is not shown to have turned a test red.

--- a/test/fakes/prepared_platform.py
+++ b/test/fakes/prepared_platform.py
@@ -211,7 +211,8 @@
             with self.lock:
                 rows = [self._row(t, k, *self.rows[(t, k)])
                         for t, k in sorted(self.rows) if t == table]
-            return self._reply(handler, 200, rows=rows, hasMore=False)
+                # The version that is told belongs to these rows.
+                return self._reply(handler, 200, rows=rows, hasMore=False)
         after = int(query["after"])
         self.feed_calls.append((time.monotonic(), table))
         until = time.monotonic() + int(query["waitMs"]) / 1000
