An instance without the store hears news from instances that it did not know

What callers saw: an instance that the store turns away went on with its old configuration for as long as that lasted, while others had the new one (CONFIG). Cause: whom an instance asks for news comes from the list of instances that the store gave it. When the store falls silent before all have registered, two instances can know each other alone; the seeds were asked only by one that knew nobody. Change: an instance takes note of who calls it, and one whose knowledge is old asks anybody out of instances and seeds alike. Seeds count like instances, so that many instances do not press on three seeds while the store is away.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -92,6 +92,7 @@
       ranges_table(this->store, std::string(kRangesTable), kFollowWait,
                    {[this] { this->OnRanges(); }, [] {},
                     [this](auto era) { this->OnLaterEra(era); }}) {
+  this->UseSeeds();
   this->registry.Add("server_links", this->links);
   this->links.SetMaxBufferedBytes(static_cast<std::size_t>(
       kAnswersShareOfMemory *
@@ -330,6 +331,13 @@
   this->readers.SetLeaders(std::move(leaders));
 }
 
+void Node::UseSeeds() {
+  std::vector<std::string> addresses;
+  for (const auto& seed : this->settings.seeds)
+    addresses.push_back(seed.ToString());
+  this->readers.SetSeeds(std::move(addresses));
+}
+
 void Node::OnServerRows() {
   ServersById listed;
   std::set<std::string, std::less<>> unusable;
@@ -469,6 +477,7 @@
   this->settings.retry_ratio = changed.retry_ratio;
   this->settings.retry_slack = changed.retry_slack;
   this->settings.seeds = changed.seeds;
+  this->UseSeeds();
   this->settings.stop_grace = changed.stop_grace;
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -66,6 +66,7 @@
   void OnInstances();
   void OnRanges();
   void NoteLeaders();
+  void UseSeeds();
   void UpdateKeyServices();
   void Register();
   bool RegistrationIsLost();
@@ -76,6 +77,7 @@
   std::set<std::string> SyncTargets(kernel::Instant now);
   void SendSync(const std::string& address);
   void OnSyncReply(const SyncReply& reply, kernel::Instant sent_at);
+  void OnHeardFrom(const InstanceRecord& peer);
   void OnPeerRequest(const net::RequestRef& ref,
                      const net::HttpRequest& request);
   SyncReply ReplyTo(const SyncRequest& request);
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -44,12 +44,6 @@
     targets.insert(std::move(address));
   }
   targets.erase(this->self.peer_address);
-  // While no other instance is known there are only the seeds of the settings:
-  // the store may have fallen silent before the others had registered.
-  const auto& seeds = this->settings.seeds;
-  if (targets.empty() && instances.size() <= 1 && !seeds.empty()) {
-    targets.insert(seeds[this->random() % seeds.size()].ToString());
-  }
   return targets;
 }
 
@@ -191,10 +185,18 @@
   return reply;
 }
 
+void Node::OnHeardFrom(const InstanceRecord& peer) {
+  if (!this->readers.OnHeardFrom(peer)) return;
+  observe::LogInfo("instance_heard_from",
+                   {{"name", peer.name}, {"address", peer.peer_address}});
+  this->dispatcher->SetInstanceCount(this->readers.Instances().size());
+}
+
 void Node::OnPeerRequest(const net::RequestRef& ref,
                          const net::HttpRequest& request) {
   if (request.url == kSyncPath) {
     auto decoded = DecodeSync(request.body);
+    if (decoded) this->OnHeardFrom(decoded.value().sender);
     net::HttpAnswer answer =
         decoded ? net::PlainAnswer(
                       200, EncodeSyncReply(this->ReplyTo(decoded.value())))
--- a/src/node/store_readers.cc
+++ b/src/node/store_readers.cc
@@ -19,6 +19,14 @@
 
 }  // namespace
 
+bool StoreReaders::OnHeardFrom(const InstanceRecord& peer) {
+  const auto known = this->instances.find(peer.name);
+  if (known != this->instances.end() && known->second.life >= peer.life)
+    return false;
+  this->instances.insert_or_assign(peer.name, peer);
+  return true;
+}
+
 void StoreReaders::OnStoreAnswered(Instant at) {
   this->known_as_of = std::max(this->known_as_of, at);
 }
@@ -41,6 +49,11 @@
   return silent != this->silent_until.end() && now < silent->second;
 }
 
+bool StoreReaders::KnowledgeIsOld(Instant now) const {
+  const auto age = this->KnowledgeAge(now);
+  return !age || *age > kOldKnowledge;
+}
+
 /// A leader, else the first instance by name, of those that answer.
 const InstanceRecord* StoreReaders::ReaderOf(std::string_view failure_domain,
                                              Instant now) const {
@@ -56,9 +69,8 @@
 
 bool StoreReaders::Follows(Instant now) const {
   const auto* reader = this->ReaderOf(this->self.failure_domain, now);
-  const auto age = this->KnowledgeAge(now);
-  return reader == nullptr || reader->name == this->self.name || !age ||
-         *age > kOldKnowledge;
+  return reader == nullptr || reader->name == this->self.name ||
+         this->KnowledgeIsOld(now);
 }
 
 std::vector<std::string> StoreReaders::Sources(Instant now,
@@ -81,13 +93,15 @@
       if (other != nullptr) sources.push_back(other->peer_address);
     }
   }
-  const auto age = this->KnowledgeAge(now);
-  if ((age && *age <= kOldKnowledge) || this->instances.empty()) return sources;
-  // Nobody asked so far knows anything new: ask anybody.
-  const auto pick =
-      static_cast<std::ptrdiff_t>(random / 7 % this->instances.size());
-  const auto& anybody = std::next(this->instances.begin(), pick)->second;
-  if (anybody.name != this->self.name) sources.push_back(anybody.peer_address);
+  if (!this->KnowledgeIsOld(now)) return sources;
+  // Nobody asked so far knows anything new: ask anybody. The seeds count like
+  // instances: those that are known may all be as far behind, and many
+  // instances together must not press on the few seeds.
+  std::vector<std::string> anybody = this->seeds;
+  for (const auto& [name, record] : this->instances) {
+    if (name != this->self.name) anybody.push_back(record.peer_address);
+  }
+  if (!anybody.empty()) sources.push_back(anybody[random / 7 % anybody.size()]);
   return sources;
 }
 
--- a/src/node/store_readers.h
+++ b/src/node/store_readers.h
@@ -35,6 +35,15 @@
   }
   const InstancesByName& Instances() const { return this->instances; }
 
+  /// Peer addresses of the settings, which may be stale.
+  void SetSeeds(std::vector<std::string> addresses) {
+    this->seeds = std::move(addresses);
+  }
+
+  /// Takes note of an instance that has called this one: the store may not have
+  /// listed it yet. Returns whether that is news.
+  bool OnHeardFrom(const InstanceRecord& peer);
+
   /// Instances that lead the owners of a service. They follow the store in any
   /// case, so they do it for their failure domains too.
   void SetLeaders(std::set<std::string, std::less<>> names) {
@@ -66,9 +75,11 @@
   const InstanceRecord* ReaderOf(std::string_view failure_domain,
                                  kernel::Instant now) const;
   bool IsSilent(const InstanceRecord& record, kernel::Instant now) const;
+  bool KnowledgeIsOld(kernel::Instant now) const;
 
   InstanceRecord self;
   InstancesByName instances;
+  std::vector<std::string> seeds;
   std::set<std::string, std::less<>> leaders;
   /// Until when a peer that did not answer is passed over, by address.
   std::map<std::string, kernel::Instant, std::less<>> silent_until;
--- a/test/correctness/store_readers_test.cc
+++ b/test/correctness/store_readers_test.cc
@@ -119,4 +119,43 @@
   }
 }
 
+TEST_CASE("an instance whose peers know as little as itself") {
+  constexpr Instant kNow = Instant(kernel::seconds(10));
+  const InstanceRecord self{"a1", 1, "a", "a1"};
+  StoreReaders reader(self);
+  reader.SetInstances({{"a1", self}, {"a2", {"a2", 1, "a", "a2"}}});
+  const auto asked = [&reader](std::uint64_t draws) {
+    std::map<std::string, int> count;
+    for (std::uint64_t i = 0; i < draws; ++i) {
+      for (const auto& address : reader.Sources(kNow, i * 7)) count[address]++;
+    }
+    return count;
+  };
+  SUBCASE("asks the seeds too") {
+    reader.SetSeeds({"s1", "s2"});
+    const auto count = asked(300);
+    CHECK(count.at("s1") == 100);
+    CHECK(count.at("s2") == 100);
+  }
+  SUBCASE("asks no seed more often than an instance, however many there are") {
+    InstancesByName many;
+    for (int i = 0; i < 1000; ++i) {
+      const std::string name = "i" + std::to_string(i);
+      many[name] = {name, 1, "a", name};
+    }
+    reader.SetInstances(many);
+    reader.SetSeeds({"s1"});
+    CHECK(asked(1001).at("s1") == 1);
+  }
+  SUBCASE("asks an instance that has called it") {
+    CHECK(reader.OnHeardFrom({"b1", 1, "b", "b1"}));
+    CHECK(asked(10).contains("b1"));
+    SUBCASE("at the address of its latest start") {
+      CHECK(reader.OnHeardFrom({"b1", 2, "b", "b1-new"}));
+      CHECK_FALSE(reader.OnHeardFrom({"b1", 1, "b", "b1"}));
+      CHECK(asked(10).contains("b1-new"));
+    }
+  }
+}
+
 }  // namespace chervilmux::node
--- a/test/processes/platform_test.py
+++ b/test/processes/platform_test.py
@@ -19,7 +19,8 @@
 sys.path.insert(0, os.path.dirname(__file__))
 from platform_world import (HOST, Node, World, eventually,  # noqa: E402
                             program, use_build)
-from prepared_platform import Backend, Store, configuration, route  # noqa: E402
+from prepared_platform import (Backend, Store, configuration, route,  # noqa: E402
+                               service)
 
 
 class CalmDay(World):
@@ -738,6 +739,57 @@
                               if line["event"] == "store_regained"])
 
 
+class TurnedAwayEarly(World):
+    """The store turns instances away before the others have registered."""
+    nodes_wanted = 0
+
+    def setUp(self):
+        super().setUp()
+        # No leader, whom all would ask.
+        self.resources = [route("r1", HOST, "/plain/", "plain"),
+                          service("plain")]
+        self.store.put("op", "config", configuration(4, self.resources))
+
+    def start(self, number, domain, seeds=()):
+        node = Node(number, self.store, self.folder.name,
+                    ["127.0.0.%d:8649" % (10 + seed) for seed in seeds], domain)
+        self.nodes.append(node.start())
+        eventually(node.ready, node.name + " is ready")
+        return node
+
+    @staticmethod
+    def known(node):
+        status = json.loads(node.get("/status"))
+        return {instance["name"] for instance in status["instances"]}
+
+    def start_turned_away(self, seeds=()):
+        """Two instances of a domain that know no others."""
+        nodes = [self.start(number, "a", seeds) for number in (2, 4)]
+        for node in nodes:
+            eventually(lambda n=node: self.known(n) == {"node-2", "node-4"},
+                       "they know each other")
+            node.door.fault = "silent"
+        return nodes
+
+    def check_news_reach(self, nodes):
+        self.store.put("op", "config", configuration(
+            30, self.resources + [route("r30", HOST, "/heard/", "plain")]))
+        for node in nodes:
+            eventually(lambda n=node: n.call(path="/heard/x")[0] == 200, "heard")
+
+    def test_news_reach_instances_from_one_that_they_did_not_know(self):
+        turned_away = self.start_turned_away()
+        self.start(1, "b")
+        self.check_news_reach(turned_away)
+
+    def test_news_reach_an_instance_that_nobody_asks_from_a_seed(self):
+        lone, gone = self.start_turned_away(seeds=(1,))
+        gone.stop(signal.SIGKILL)
+        self.start(0, "a")
+        self.start(1, "b")
+        self.check_news_reach([lone])
+
+
 class NothingKnown(unittest.TestCase):
     def test_an_instance_that_knows_nothing_refuses_at_once_and_truthfully(self):
         with tempfile.TemporaryDirectory() as folder:
