Soak: what a restored store has lost is written again

Change: one second after each restore the configuration and the last report of each server that is listed are written once more. The checks stay as they are.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -173,9 +173,10 @@
     """The seeds that failed once, with the options of their run."""
     with open(os.path.join(os.path.dirname(__file__), "seeds.txt"),
               encoding="utf-8") as file:
-        lines = [line.split()[:3] for line in file if not line.startswith("#")]
-    for seed, seconds, nodes in lines:
-        changed = dict(vars(options), seconds=float(seconds), nodes=int(nodes))
+        lines = [line.split()[:4] for line in file if not line.startswith("#")]
+    for seed, seconds, nodes, store in lines:
+        changed = dict(vars(options), seconds=float(seconds), nodes=int(nodes),
+                       restores=store == "restores")
         yield int(seed), argparse.Namespace(**changed)
 
 
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -24,6 +24,7 @@
 STOP_LIMIT_S = 15.0  # generous: more than twice the grace
 TIMEOUT_S = 2.0  # the routes' limit, as platform.route says
 SHORTEST_IDLE_S = 5
+WRITE_AGAIN_S = 1.0  # after a restore, until its writers have noticed
 
 
 class Listed:
@@ -52,6 +53,8 @@
 class SoakServer(platform.Backend):
     """One life of a backend server; tells the ledger what it is asked and runs."""
 
+    entry = None  # the state that it wrote last, unless it has left
+
     def __init__(self, world, slot, name, link):
         self.ledger, self.link, self.dead = world.ledger, link, False
         self.late = {}  # spans that a held up grant gave it
@@ -64,6 +67,21 @@
         link.target = self.http.address
         self.ledger.servers.append(self)
 
+    def register(self, state="ready"):
+        super().register(state)
+        self.entry = state
+
+    def leave(self):
+        self.entry = None
+        super().leave()
+
+    def write_again(self):
+        """Writes its last report once more."""
+        with self.ledger.lock:
+            if self.entry and not self.dead:
+                self.reports -= 1
+                self.register(self.entry)
+
     def die(self):
         with self.ledger.lock:
             self.dead = True
@@ -202,8 +220,8 @@
 
     saved = None
 
-    def __init__(self, store):
-        self.store = store
+    def __init__(self, world):
+        self.world, self.store = world, world.store
 
     def begin(self, kind, value):
         if kind == "lossy":
@@ -219,6 +237,9 @@
         if kind == "store_restored":
             self.store.restore(StoreFaults.saved)
         self.store.fault, self.store.lose_answers = None, 0
+        if kind == "store_restored":
+            time.sleep(WRITE_AGAIN_S)
+            self.world.write_again()
 
 
 class DoorLink(Link):
@@ -357,6 +378,12 @@
         document["resources"][-1]["spec"]["idleTimeoutS"] = self.idle_s
         self.store.put("op", "config", document)
 
+    def write_again(self):
+        """What the operator and the servers wrote, after the store lost it."""
+        self.configure()
+        for server in list(self.servers.values()):
+            server.write_again()
+
     def clean_up(self):
         for instance in self.instances:
             instance.stop(signal.SIGKILL)
@@ -374,7 +401,7 @@
         instances = {instance.name: instance for instance in self.instances}
         if group == "door":
             return instances[name].door
-        return {"config": self, "store": StoreFaults(self.store)}.get(
+        return {"config": self, "store": StoreFaults(self)}.get(
             target) or instances.get(target)
 
     def begin(self, fault):
