--- /dev/null
+++ b/src/node/caller_limits.cc
@@ -0,0 +1,31 @@
+#include "node/caller_limits.h"
+
+#include <cstddef>
+
+namespace chervilmux::node {
+namespace {
+
+/// Share of the descriptors that callers may use. The others are for servers,
+/// which bound their connections themselves, peers, the store and files.
+constexpr double kCallersShareOfDescriptors = 0.6;
+
+/// Callers' connections stay open for this much longer than callers may leave
+/// them idle: a caller counts from when an answer has reached it, and its next
+/// request takes time too.
+constexpr kernel::Duration kIdleSlack = kernel::seconds(5);
+
+}  // namespace
+
+net::FrontLimits CallerFrontLimits(const model::CallerLimits& told,
+                                   const NodeSettings& settings) {
+  net::FrontLimits limits;
+  limits.read = {told.max_head_bytes, told.max_body_bytes};
+  limits.request_timeout = told.head_timeout;
+  limits.idle_timeout = told.idle_timeout + kIdleSlack;
+  limits.max_connections =
+      static_cast<std::size_t>(kCallersShareOfDescriptors *
+                               static_cast<double>(settings.max_descriptors));
+  return limits;
+}
+
+}  // namespace chervilmux::node
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "kernel/json.h"
+#include "node/caller_limits.h"
 #include "node/claim_stagger.h"
 #include "observe/log.h"
 
@@ -34,15 +35,6 @@
 /// Left of the grace when the process ends by itself.
 constexpr Duration kStopReserve = milliseconds(300);
 
-/// Share of the descriptors that callers may use. The others are for servers,
-/// which bound their connections themselves, peers, the store and files.
-constexpr double kCallersShareOfDescriptors = 0.6;
-
-/// Callers' connections stay open for this much longer than callers may leave
-/// them idle: a caller counts from when an answer has reached it, and its next
-/// request takes time too.
-constexpr Duration kIdleSlack = kernel::seconds(5);
-
 /// Share of the memory that unfinished answers of servers may use.
 constexpr double kAnswersShareOfMemory = 0.25;
 
@@ -264,15 +256,8 @@
        {"services", std::to_string(this->configuration->services.size())}});
   this->metrics.Count("chervilmux_configuration_version")
       .SetTo(this->configuration->version);
-  const model::CallerLimits& limits = this->configuration->limits;
-  net::FrontLimits front_limits;
-  front_limits.read = {limits.max_head_bytes, limits.max_body_bytes};
-  front_limits.request_timeout = limits.head_timeout;
-  front_limits.idle_timeout = limits.idle_timeout + kIdleSlack;
-  front_limits.max_connections = static_cast<std::size_t>(
-      kCallersShareOfDescriptors *
-      static_cast<double>(this->settings.max_descriptors));
-  this->callers->SetLimits(front_limits);
+  this->callers->SetLimits(
+      CallerFrontLimits(this->configuration->limits, this->settings));
   this->dispatcher->SetConfiguration(this->configuration);
   this->UpdateKeyServices();
 }
