Unsent answers of callers have a limit in bytes

Wrong: answers that their callers do not take were bounded in time only (5 s without an acknowledgement). Callers that send requests with large answers and read nothing could fill the memory of a small instance, which then ends with the requests of all callers.

Cause: HttpFront keeps what a connection does not take without counting it.

Change: HttpFront counts these bytes, also of answers that wait behind one that is pending, and ends connections while they exceed FrontLimits::max_unsent_bytes: first those that took nothing for longest, and of connections that have nothing to take yet only when no other is left. The end comes in the middle of an answer, whose stated length its caller then misses; a request that is pending on such a connection counts as one whose caller has gone. Callers' connections get a quarter of the memory, as much as unfinished answers of servers, so that one answer alone is never cut off. The end is counted and logged as `unsent`.

Not changed: a connection's buffer keeps its capacity, so that the memory held can exceed the bytes counted.

--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -14,6 +14,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -86,6 +87,8 @@
       return "caller-closed";
     case ConnectionEnd::kUnreachable:
       return "unreachable";
+    case ConnectionEnd::kUnsent:
+      return "unsent";
   }
   return "";
 }
@@ -108,6 +111,7 @@
     return this->connections.size() < this->limits.max_connections;
   }
   void CloseIdlest();
+  void LimitUnsentBytes();
 
   kernel::ReactorTask& task;
   FrontEvents events;
@@ -116,6 +120,7 @@
   bool stopped = false;
   std::uint64_t last_id = 0;
   std::size_t pending = 0;
+  std::size_t unsent = 0;  ///< Bytes of answers, over all connections.
   std::unique_ptr<Acceptor> acceptor;
   std::map<std::uint64_t, std::unique_ptr<Connection>> connections;
   /// Shared with the message that clears it, which may outlive the server.
@@ -133,7 +138,8 @@
         id(id),
         stream(handle),
         reader(owner.limits.read),
-        idle_since(kernel::Now()),
+        taken_at(kernel::Now()),
+        idle_since(this->taken_at),
         idle_until(this->idle_since + owner.limits.idle_timeout) {
     TuneConnection(handle, kCallerUnacknowledgedLimit);
     this->owner.task.Reactor().register_handler(this,
@@ -151,7 +157,7 @@
         recv(this->stream.get_handle(), chunk.data(), chunk.size(), 0);
     if (got < 0 && (errno == EWOULDBLOCK || errno == EINTR)) return 0;
     if (got <= 0) {
-      this->OnCallerLeft(EndOf(got));
+      this->Abandon(EndOf(got));
       return 0;
     }
     // Nothing behind the last request is read any more.
@@ -228,6 +234,15 @@
     this->owner.Bury(this->id);
   }
   std::size_t BufferedBytes() const { return this->reader.BufferedBytes(); }
+  std::size_t UnsentBytes() const { return this->unsent; }
+  /// Whether its answers should be given up before those of `other`. One that
+  /// has nothing to take yet isn't to blame.
+  bool TookNothingLongerThan(const Connection& other) const {
+    return std::tuple(this->output.empty(), this->taken_at) <
+           std::tuple(other.output.empty(), other.taken_at);
+  }
+  /// Ends in the middle of an answer, so that its caller sees it cut off.
+  void GiveUpAnswers() { this->Abandon(ConnectionEnd::kUnsent); }
 
   void SetLimits(const FrontLimits& limits) {
     this->reader.SetLimits(limits.read);
@@ -239,6 +254,7 @@
   /// Leaves the reactor and closes; the object may still be on the call stack.
   void Retire() {
     this->retired = true;
+    this->ForgetUnsent();
     this->Close();
   }
 
@@ -291,7 +307,7 @@
       return false;
     }
     if (this->caller_left) {
-      this->OnCallerLeft(ConnectionEnd::kCallerClosed);
+      this->Abandon(ConnectionEnd::kCallerClosed);
       return false;
     }
     this->OnRequest(this->reader.Take());
@@ -339,11 +355,30 @@
     this->idle_since = kernel::Now();
     this->idle_until = this->idle_since + this->owner.limits.idle_timeout;
     this->Flush();
+    this->owner.LimitUnsentBytes();
     this->ReadRequests();
     this->LimitInput();
   }
 
+  void CountUnsent() {
+    std::size_t bytes = this->output.size();
+    for (const auto& slot : this->slots) bytes += slot.answer.body.size();
+    this->owner.unsent += bytes - this->unsent;
+    this->unsent = bytes;
+  }
+
+  /// What the connection holds counts no longer: it ends.
+  void ForgetUnsent() {
+    this->owner.unsent -= this->unsent;
+    this->unsent = 0;
+  }
+
   void Flush() {
+    this->WriteOutput();
+    if (!this->retired) this->CountUnsent();
+  }
+
+  void WriteOutput() {
     while (!this->output.empty()) {
       if (this->retired) return;
       const ssize_t sent = send(this->stream.get_handle(), this->output.data(),
@@ -354,10 +389,11 @@
         return;
       }
       if (sent <= 0) {
-        this->OnCallerLeft(EndOf(sent));
+        this->Abandon(EndOf(sent));
         return;
       }
       this->output.erase(0, static_cast<std::size_t>(sent));
+      this->taken_at = kernel::Now();
     }
     this->output_watch.Set(false);
     if (this->close_when_flushed && !this->lingering)
@@ -403,7 +439,7 @@
     close.pending = static_cast<std::size_t>(
         std::ranges::count(this->slots, false, &Slot::answered));
     close.unread = this->UnreadBytes();
-    close.unsent = this->output.size();
+    close.unsent = this->unsent;
     close.behind = this->owner.behind;
     this->owner.events.on_close(close);
   }
@@ -416,10 +452,12 @@
     shutdown(this->stream.get_handle(), SHUT_WR);
   }
 
-  void OnCallerLeft(ConnectionEnd end) {
+  /// Ends without the answers that are due.
+  void Abandon(ConnectionEnd end) {
     if (!this->lingering) this->TellEnd(end);
     std::deque<Slot> abandoned;
     abandoned.swap(this->slots);
+    this->ForgetUnsent();
     for (const auto& slot : abandoned) {
       if (slot.answered) continue;
       this->owner.pending -= 1;
@@ -443,6 +481,7 @@
   std::deque<Slot> slots;
   std::uint64_t last_sequence = 0;
   std::string output;
+  std::size_t unsent = 0;  ///< Bytes of answers.
   EventWatch output_watch{this->owner.task.Reactor(), *this,
                           ACE_Event_Handler::WRITE_MASK, false};
   EventWatch input_watch{this->owner.task.Reactor(), *this,
@@ -454,6 +493,7 @@
   bool reading = false;  ///< Guards against recursion.
   bool retired = false;
   Instant request_deadline;
+  Instant taken_at;  ///< When the connection last took bytes of an answer.
   Instant idle_since;
   Instant idle_until;
   Instant linger_until;
@@ -535,6 +575,19 @@
   }
 }
 
+void HttpFront::Impl::LimitUnsentBytes() {
+  while (this->unsent > this->limits.max_unsent_bytes) {
+    Connection* longest = nullptr;
+    for (const auto& [id, connection] : this->connections) {
+      const bool longer =
+          longest == nullptr || connection->TookNothingLongerThan(*longest);
+      if (connection->UnsentBytes() > 0 && longer) longest = connection.get();
+    }
+    if (longest == nullptr) return;
+    longest->GiveUpAnswers();
+  }
+}
+
 void HttpFront::Impl::Bury(std::uint64_t id) {
   const auto found = this->connections.find(id);
   if (found == this->connections.end()) return;
@@ -607,6 +660,7 @@
     sum += connection->BufferedBytes();
   return sum;
 }
+std::size_t HttpFront::UnsentBytes() const { return this->impl->unsent; }
 std::size_t HttpFront::Pending() const { return this->impl->pending; }
 std::size_t HttpFront::Connections() const {
   return this->impl->connections.size();
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -42,6 +42,10 @@
   /// Longest time from the first byte of a request to its last.
   kernel::Duration request_timeout = kernel::seconds(3);
   kernel::Duration idle_timeout = kernel::seconds(15);
+  /// Bytes of answers that their callers have not taken yet, over all
+  /// connections. Beyond it the connections whose callers took nothing for
+  /// longest end with their answers cut off.
+  std::size_t max_unsent_bytes = 128U << 20U;
 };
 
 /// Why a connection ended.
@@ -52,6 +56,7 @@
   kAnswered,      ///< Its last answer told the caller to close.
   kCallerClosed,  ///< The caller closed or reset it.
   kUnreachable,   ///< The caller's side no longer acknowledged anything.
+  kUnsent,  ///< Memory was short, and its caller took nothing for longest.
 };
 std::string_view NameOf(ConnectionEnd end);
 
@@ -69,7 +74,8 @@
 struct FrontEvents {
   /// A whole request arrived. Answer() may be called at once or later.
   std::function<void(const RequestRef&, HttpRequest)> on_request;
-  /// The caller closed its connection before this request was answered.
+  /// The connection ended before this request was answered: its caller closed
+  /// it, or took nothing of earlier answers.
   std::function<void(const RequestRef&)> on_gone;
   /// The answer to bytes that are no acceptable request.
   std::function<HttpAnswer(const kernel::Error&)> refuse;
@@ -113,6 +119,9 @@
   /// Bytes of requests that are not whole, or not taken yet.
   std::size_t BufferedBytes() const;
 
+  /// Bytes of answers that their callers have not taken yet.
+  std::size_t UnsentBytes() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl;
--- a/src/node/caller_limits.cc
+++ b/src/node/caller_limits.cc
@@ -14,6 +14,10 @@
 /// request takes time too.
 constexpr kernel::Duration kIdleSlack = kernel::seconds(5);
 
+/// Share of the memory that answers may use which callers do not take: as much
+/// as unfinished answers of servers, so that one alone is never cut off.
+constexpr double kUnsentShareOfMemory = 0.25;
+
 }  // namespace
 
 net::FrontLimits CallerFrontLimits(const model::CallerLimits& told,
@@ -25,6 +29,8 @@
   limits.max_connections =
       static_cast<std::size_t>(kCallersShareOfDescriptors *
                                static_cast<double>(settings.max_descriptors));
+  limits.max_unsent_bytes = static_cast<std::size_t>(
+      kUnsentShareOfMemory * static_cast<double>(settings.memory_bytes));
   return limits;
 }
 
--- a/test/correctness/caller_limits_test.cc
+++ b/test/correctness/caller_limits_test.cc
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cstddef>
 #include <initializer_list>
 
 #include "net/tcp.h"
@@ -23,4 +24,16 @@
   }
 }
 
+// Failure: callers that take nothing of their answers fill the memory of a
+// small instance.
+TEST_CASE("answers that callers do not take use a quarter of the memory") {
+  for (const std::size_t megabytes : {160U, 256U, 1024U}) {
+    NodeSettings settings;
+    settings.memory_bytes = megabytes << 20U;
+    const net::FrontLimits limits =
+        CallerFrontLimits(model::CallerLimits(), settings);
+    CHECK(limits.max_unsent_bytes <= settings.memory_bytes / 4);
+  }
+}
+
 }  // namespace chervilmux::node
--- a/test/correctness/data_path_test.cc
+++ b/test/correctness/data_path_test.cc
@@ -379,6 +379,66 @@
   }
 }
 
+// Failure: callers that read nothing of large answers fill the memory.
+TEST_CASE("callers that take nothing of their answers share one limit") {
+  Front front;
+  FrontLimits limits;
+  limits.max_unsent_bytes = 64U << 20U;
+  front.Do([&] { front.front->SetLimits(limits); });
+  // More than the buffers of a connection take in.
+  const std::string body = std::string(16U << 20U, 'x') + "end";
+  const std::string large = std::string(48U << 20U, 'x') + "end";
+  std::vector<std::unique_ptr<Caller>> callers;
+  const auto request = [&](const std::string& url) {
+    callers.push_back(std::make_unique<Caller>(front.address));
+    callers.back()->Send(Get(url));
+    const std::size_t requests = callers.size();
+    while (front.Requests() < requests) std::this_thread::yield();
+  };
+  constexpr int kCallers = 12;
+  SUBCASE("those that took nothing for longest see that theirs is cut off") {
+    for (int i = 0; i < kCallers; ++i) {
+      request("/" + std::to_string(i));
+      front.Answer("/" + std::to_string(i), body);
+      CHECK(front.UnsentBytes() <= limits.max_unsent_bytes);
+    }
+    const std::string cut = callers.front()->ReadUntil("end");
+    CHECK(cut.starts_with("HTTP/1.1 200"));
+    CHECK(cut.size() < body.size());
+    CHECK(cut.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(callers.back()->ReadUntil("end").ends_with("end"));
+  }
+  SUBCASE("one that takes its answer slowly gets all of it") {
+    request("/slow");
+    front.Answer("/slow", large);
+    // As much as makes room in the connection's buffers.
+    constexpr std::size_t kPart = 3U << 20U;
+    for (int i = 0; i < kCallers; ++i) {
+      request("/" + std::to_string(i));
+      const std::size_t before = front.UnsentBytes();
+      CHECK(callers.front()->Read(kPart).size() == kPart);
+      constexpr int kTries = 500;
+      for (int j = 0; j < kTries && front.UnsentBytes() == before; ++j)
+        std::this_thread::sleep_for(milliseconds(10));
+      front.Answer("/" + std::to_string(i), body);
+      CHECK(front.UnsentBytes() <= limits.max_unsent_bytes);
+    }
+    CHECK(callers.front()->ReadUntil("end").ends_with("end"));
+  }
+  SUBCASE("answers that wait for one before them count too") {
+    callers.push_back(std::make_unique<Caller>(front.address));
+    callers.back()->Send(Get("/1") + Get("/2") + Get("/3"));
+    while (front.Requests() < 3) std::this_thread::yield();
+    front.Answer("/3", large);
+    CHECK(front.gone_count == 0);
+    front.Answer("/2", large);
+    CHECK(front.UnsentBytes() == 0);
+    // The first request has no answer and never gets one.
+    CHECK(front.gone_count == 1);
+    CHECK(callers.back()->ReadUntil("never").empty());
+  }
+}
+
 // Failure: a request is sent on a new connection although its caller has left
 // while the connection was opened.
 TEST_CASE("a request that nobody waits for is not sent on a new connection") {
--- a/test/fakes/data_path_ends.h
+++ b/test/fakes/data_path_ends.h
@@ -93,6 +93,19 @@
     }
     return got;
   }
+  /// Reads `size` bytes; fewer if the connection ends.
+  std::string Read(std::size_t size) const {
+    std::string got(size, '\0');
+    std::size_t filled = 0;
+    while (filled < size) {
+      const ssize_t part =
+          recv(this->descriptor, got.data() + filled, size - filled, 0);
+      if (part <= 0) break;
+      filled += static_cast<std::size_t>(part);
+    }
+    got.resize(filled);
+    return got;
+  }
 
  private:
   int descriptor;
@@ -151,6 +164,11 @@
     this->Do([&] { bytes = this->front->BufferedBytes(); });
     return bytes;
   }
+  std::size_t UnsentBytes() {
+    std::size_t bytes = 0;
+    this->Do([&] { bytes = this->front->UnsentBytes(); });
+    return bytes;
+  }
   void Answer(const std::string& url, const std::string& body) {
     this->Do([&] {
       HttpAnswer answer;
