An instance that does not hear a running leader reads the store less often

Seen by callers only as cost, and as load on the store while a leader is in trouble.

Cause, by a trial with a log line for each call: of the 6,412 calls until second 36, 4,690 read the lease and the owners of all keys. At 16.5 s the store turns the leader away, at 20.3 s an instance of 0.1 cores becomes the leader. From then on about 60 of its 79 peers a second get no answer from it in time, so they have no contact with a leader. Each of them then reads both tables every 0.3 s, although each read shows that the lease is being renewed: 250 to 480 calls a second, where a calm second has 6 to 30.

Change: a lease that was renewed between two reads shows that its holder leads as well as a contact would, so that the next read comes as late as after one; and the owners are read only for a claim, to learn the era or to resolve a write.

Not changed: how the small instance became the leader, and why it does not answer in time.

--- a/src/node/key_service.cc
+++ b/src/node/key_service.cc
@@ -228,6 +228,8 @@
       this->grantor.OnReadFailed(kernel::Now());
       return;
     }
+    if (!this->grantor.OnLeaseRead(this->LeaseFrom(leases), kernel::Now()))
+      return;
     this->store.List(kRangesTable,
                      [this, leases](const store::RowsReply& tables) {
                        this->OnRead(leases, tables);
@@ -235,6 +237,17 @@
   });
 }
 
+ranges::GrantorRows KeyService::LeaseFrom(
+    const store::RowsReply& leases) const {
+  ranges::GrantorRows rows;
+  rows.era = leases.era;
+  const store::Row lease = FindRow(leases, RowKey(this->name, rows.era));
+  rows.lease_version = lease.version;
+  auto decoded = ranges::DecodeLease(lease.value);
+  if (decoded) rows.lease = std::move(decoded.value());
+  return rows;
+}
+
 void KeyService::OnRead(const store::RowsReply& leases,
                         const store::RowsReply& tables) {
   const Instant now = kernel::Now();
@@ -242,15 +255,9 @@
     this->grantor.OnReadFailed(now);
     return;
   }
-  ranges::GrantorRows rows;
-  rows.era = tables.era;
-  const std::string key = RowKey(this->name, rows.era);
-  const store::Row lease = FindRow(leases, key);
-  const store::Row table = FindRow(tables, key);
-  rows.lease_version = lease.version;
+  ranges::GrantorRows rows = this->LeaseFrom(leases);
+  const store::Row table = FindRow(tables, RowKey(this->name, rows.era));
   rows.table_version = table.version;
-  auto decoded_lease = ranges::DecodeLease(lease.value);
-  if (decoded_lease) rows.lease = std::move(decoded_lease.value());
   auto decoded_table = ranges::DecodeTable(table.value);
   if (table.version == 0) {
     rows.table = this->TableBeforeEra(tables, rows.era);
--- a/src/node/key_service.h
+++ b/src/node/key_service.h
@@ -63,6 +63,8 @@
   void SendOrder(const ranges::RangeOrder& order);
   void Write(const ranges::GrantorActions::Write& write);
   void Read();
+  /// What a reading of the lease row alone tells.
+  ranges::GrantorRows LeaseFrom(const store::RowsReply& leases) const;
   void OnRead(const store::RowsReply& leases, const store::RowsReply& tables);
   /// The newest table of an era before `era` that the store holds or that was
   /// heard.
--- a/src/ranges/range_grantor.cc
+++ b/src/ranges/range_grantor.cc
@@ -177,6 +177,50 @@
     this->pending_write->retry_at = now + kWriteRetryDelay;
 }
 
+bool RangeGrantor::OnLeaseRead(const GrantorRows& rows, Instant now) {
+  const bool is_known_era =
+      this->era_seen_since != kernel::kNever && rows.era == this->era;
+  if (!is_known_era || this->pending_write || this->role != Role::kFollower ||
+      this->is_resigning) {
+    return true;
+  }
+  this->next_read_at = now + kReadRetryPeriod;
+  this->NoteLease(rows, now);
+  if (this->MayClaim(rows, now)) return true;
+  this->is_reading_rows = false;
+  return false;
+}
+
+/// A lease that was renewed between two reads shows that its holder leads, as
+/// well as a contact would: the next read comes as late as after one.
+void RangeGrantor::NoteLease(const GrantorRows& rows, Instant now) {
+  const bool is_first = this->lease_seen_since == kernel::kNever;
+  const bool read_lately =
+      this->lease_read_at != kernel::kNever &&
+      now - this->lease_read_at < this->timing.lease_timeout;
+  this->lease_read_at = now;
+  if (!is_first && rows.lease_version == this->seen_lease_version) return;
+  this->seen_lease_version = rows.lease_version;
+  this->lease_seen_since = now;
+  if (!is_first && read_lately && rows.lease_version != 0) {
+    this->next_read_at = now + this->timing.suspect_after + this->claim_jitter;
+  }
+}
+
+bool RangeGrantor::MayClaim(const GrantorRows& rows, Instant now) const {
+  const auto& holder = rows.lease.holder;
+  // A missing lease may be one that the store has lost, whose holder runs.
+  const bool may_be_lost = rows.lease_version == 0 &&
+                           (this->era > kFirstEra || this->MayMissGrants(rows));
+  const bool lease_vacant = holder.empty() && !may_be_lost;
+  const bool is_own_lease = holder == this->instance;
+  const bool holder_ended =
+      this->has_ended && this->has_ended(holder, rows.lease.holder_life);
+  const bool lease_expired =
+      now - this->lease_seen_since >= this->timing.lease_timeout;
+  return lease_vacant || is_own_lease || holder_ended || lease_expired;
+}
+
 void RangeGrantor::OnRowsRead(const GrantorRows& rows, Instant now) {
   if (rows.era < this->era) {
     // Read before the store lost these rows.
@@ -192,23 +236,8 @@
     return;
   }
   if (this->role != Role::kFollower || this->is_resigning) return;
-  if (rows.lease_version != this->seen_lease_version ||
-      this->lease_seen_since == kernel::kNever) {
-    this->seen_lease_version = rows.lease_version;
-    this->lease_seen_since = now;
-  }
-  const auto& holder = rows.lease.holder;
-  // A missing lease may be one that the store has lost, whose holder runs.
-  const bool may_be_lost = rows.lease_version == 0 &&
-                           (this->era > kFirstEra || this->MayMissGrants(rows));
-  const bool lease_vacant = holder.empty() && !may_be_lost;
-  const bool is_own_lease = holder == this->instance;
-  const bool holder_ended =
-      this->has_ended && this->has_ended(holder, rows.lease.holder_life);
-  const bool lease_expired =
-      now - this->lease_seen_since >= this->timing.lease_timeout;
-  if (lease_vacant || is_own_lease || holder_ended || lease_expired)
-    this->Claim(rows, now);
+  this->NoteLease(rows, now);
+  if (this->MayClaim(rows, now)) this->Claim(rows, now);
 }
 
 Instant RangeGrantor::InheritedExpiry(const GrantorRows& rows,
--- a/src/ranges/range_grantor.h
+++ b/src/ranges/range_grantor.h
@@ -157,7 +157,7 @@
     std::uint64_t table_version = 0;
   };
   std::optional<Write> write;
-  /// Read the lease row and the table row.
+  /// Read the lease row and then, if it is needed, the table row.
   bool read = false;
   /// Send PublishedTable() to all instances.
   bool publish = false;
@@ -213,6 +213,9 @@
     this->has_ended = std::move(f);
   }
 
+  /// The lease row was read, and the table row was not yet. Returns whether it
+  /// is needed: then OnRowsRead() or OnReadFailed() follows.
+  bool OnLeaseRead(const GrantorRows& rows, kernel::Instant now);
   void OnRowsRead(const GrantorRows& rows, kernel::Instant now);
   void OnReadFailed(kernel::Instant now);
   void OnWriteReply(const GrantorWriteReply& reply, kernel::Instant now);
@@ -354,6 +357,10 @@
   kernel::Instant EarlierErasExpiry() const;
   bool IsSettled() const;
   bool IsLeaseValid(kernel::Instant now) const;
+  void NoteLease(const GrantorRows& rows, kernel::Instant now);
+  /// Whether the lease that was read is free to claim. What depends on the
+  /// table row is decided for a claim while that row was not read.
+  bool MayClaim(const GrantorRows& rows, kernel::Instant now) const;
   bool MayRenewGrants(kernel::Instant now) const;
   /// Returns the latest time at which a grant of the leader in `rows`, or of an
   /// earlier one, can expire.
@@ -419,6 +426,7 @@
   kernel::Duration claim_jitter;
   kernel::Instant next_read_at = kernel::kNever;
   bool is_reading_rows = false;
+  kernel::Instant lease_read_at = kernel::kNever;
   std::uint64_t seen_lease_version = 0;
   kernel::Instant lease_seen_since = kernel::kNever;
 
--- a/test/scenario/range_world_messages.cc
+++ b/test/scenario/range_world_messages.cc
@@ -74,10 +74,13 @@
                        this->RowsAsRead(this->instances[index]);
                    this->Deliver(index, life, [this, index, read, reachable] {
                      auto& grantor = *this->instances[index].grantor;
-                     if (reachable) {
-                       grantor.OnRowsRead(read, this->now);
-                     } else {
+                     ranges::GrantorRows lease = read;
+                     lease.table.reset();
+                     lease.table_version = 0;
+                     if (!reachable) {
                        grantor.OnReadFailed(this->now);
+                     } else if (grantor.OnLeaseRead(lease, this->now)) {
+                       grantor.OnRowsRead(read, this->now);
                      }
                    });
                  });
