Connections give back the memory of answers that were taken

Wrong: a connection that had carried a large answer kept the memory for it until it closed. Idle connections could fill the memory of a small instance, and the limit on unsent answers did not bound the memory that they use.

Cause: the buffer of a connection keeps its capacity when its bytes are sent.

Change: it gives back what it no longer needs once less than half of it is used. So the memory held is at most twice the bytes counted.

--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -29,6 +29,8 @@
 constexpr std::size_t kReadChunk = 16U << 10U;
 /// Requests read ahead on one connection; more wait in the socket.
 constexpr std::size_t kMaxPipelined = 32;
+/// Memory for answers that a connection keeps while it has none to send.
+constexpr std::size_t kKeptCapacity = 16U << 10U;
 /// How often time limits are checked.
 constexpr kernel::Duration kSweepPeriod = kernel::milliseconds(200);
 /// How long a closed connection still takes in bytes of its caller. Closing
@@ -378,6 +380,13 @@
     if (!this->retired) this->CountUnsent();
   }
 
+  /// Gives back what a large answer needed and the rest of it does not.
+  void GiveBackMemory() {
+    const std::size_t held = this->output.capacity();
+    if (held > kKeptCapacity && this->output.size() < held / 2)
+      this->output.shrink_to_fit();
+  }
+
   void WriteOutput() {
     while (!this->output.empty()) {
       if (this->retired) return;
@@ -393,6 +402,7 @@
         return;
       }
       this->output.erase(0, static_cast<std::size_t>(sent));
+      this->GiveBackMemory();
       this->taken_at = kernel::Now();
     }
     this->output_watch.Set(false);
--- a/test/correctness/data_path_test.cc
+++ b/test/correctness/data_path_test.cc
@@ -2,6 +2,7 @@
 // servers whose bytes belong to no request.
 
 #include <doctest/doctest.h>
+#include <malloc.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -439,6 +440,30 @@
   }
 }
 
+// Failure: idle connections keep the memory of the largest answer that each has
+// carried, and fill a small instance.
+TEST_CASE("connections keep no memory of answers that were taken") {
+  Front front;
+  const auto bytes_in_use = [] {
+    const struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+  };
+  constexpr std::size_t kAnswerBytes = 8U << 20U;
+  constexpr int kCallers = 8;
+  std::vector<std::unique_ptr<Caller>> callers;
+  const std::size_t before = bytes_in_use();
+  for (int i = 0; i < kCallers; ++i) {
+    const std::string url = "/" + std::to_string(i);
+    callers.push_back(std::make_unique<Caller>(front.address));
+    callers.back()->Send(Get(url));
+    while (front.Requests() < callers.size()) std::this_thread::yield();
+    front.Answer(url, std::string(kAnswerBytes, 'x') + "end");
+    CHECK(callers.back()->ReadUntil("end").ends_with("end"));
+  }
+  front.Do([&] { CHECK(front.front->Connections() == kCallers); });
+  CHECK(bytes_in_use() < before + kAnswerBytes);
+}
+
 // Failure: a request is sent on a new connection although its caller has left
 // while the connection was opened.
 TEST_CASE("a request that nobody waits for is not sent on a new connection") {
