Instances that a server turned away return to it one after the other

Cause: the end of a back-off is the same instant for all instances that a server turned away, and for the callers that they refuse. In virtual time, at 0.4 of all slots in use, a third of the servers with keys asking for two seconds, a server with 4 slots got up to 12 requests in the first 100 ms after the end from 8 instances, and up to 20 from 80. Change: when more instances share a server than it has slots, each adds a delay to the end, fixed by a hash of the server's run and a random seed of its own. The longest delay is the time in which the server can serve a first request of each instance with a quarter of its slots, but at most the time that it asked for. The end that counts for "the later of two" stays the one asked for. Callers hear the end with the delay and return spread likewise. Ruled out: no bound by the time asked for: at 300 instances and 4 slots the delay would be up to 30 s; a share of half of the slots: 8 instances would start more than 4 requests at once at 1 server in 40 (binomial).

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -110,6 +110,7 @@
   if (!state) {
     state = std::make_unique<ServiceState>(this->settings.failure_domain);
     state->budget = this->MakeRetryBudget();
+    state->loads.SetInstances(this->instance_count, this->random());
   }
   return *state;
 }
@@ -150,6 +151,7 @@
   if (count == 0 || count == this->instance_count) return;
   this->instance_count = count;
   for (auto& [name, state] : this->services) {
+    state->loads.SetInstances(count, this->random());
     state->budget.SetCapacity(this->settings.retry_slack * kRetryBudgetShare /
                               static_cast<double>(count));
   }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -73,7 +73,8 @@
 
   void SetRetryLimits(double ratio, double slack);
 
-  /// Sets the number of instances that share the limits on retries.
+  /// Sets the number of instances that share the servers and the limits on
+  /// retries.
   void SetInstanceCount(std::size_t count);
 
   /// Sets whether the configuration is known to be the newest. Otherwise a path
--- a/src/policy/server_loads.cc
+++ b/src/policy/server_loads.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <random>
 #include <utility>
 
 namespace chervilmux::policy {
@@ -31,6 +33,11 @@
 /// A server is ejected after this many failures in a row.
 constexpr unsigned kMaxConsecutiveFailures = 3;
 
+/// Share of a server's slots that the first requests of all instances use on
+/// average after its back-off. They come at random, so that they use several
+/// times as many for a moment.
+constexpr double kFirstRequestsShare = 0.25;
+
 /// Number of answers after which a server's own average and the mean of the
 /// service have equal weight in the relative speed.
 constexpr double kMeanWeightInAnswers = 4;
@@ -39,6 +46,14 @@
   average = average <= 0 ? sample : average + gain * (sample - average);
 }
 
+/// A number in [0, 1) that is the same for the same `server` and `seed`.
+double RandomUnitOf(const ServerRun& server, std::uint64_t seed) {
+  std::seed_seq seeds{seed, seed >> 32U, server.life, server.life >> 32U,
+                      std::uint64_t{std::hash<std::string>()(server.id)}};
+  std::mt19937 random(seeds);
+  return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
 }  // namespace
 
 std::string_view NameOf(AttemptOutcome outcome) {
@@ -69,6 +84,11 @@
                          const ServerLoadsTuning& tuning)
     : own_failure_domain(std::move(own_failure_domain)), tuning(tuning) {}
 
+void ServerLoads::SetInstances(std::size_t count, std::uint64_t new_seed) {
+  this->instance_count = count;
+  this->delay_seed = new_seed;
+}
+
 void ServerLoads::Update(std::span<const model::BackendServer> listed,
                          Instant unchanged_until, Instant now) {
   std::map<std::string, Server, std::less<>> next;
@@ -248,7 +268,22 @@
 
 bool ServerLoads::OnBackOff(const ServerRun& server, Duration time,
                             std::string_view request_id, Instant now) {
-  return this->notices.OnBackOff(server, time, request_id, now);
+  const BackOffTime back_off{time, this->BackOffDelay(server, time)};
+  return this->notices.OnBackOff(server, back_off, request_id, now);
+}
+
+Duration ServerLoads::BackOffDelay(const ServerRun& server,
+                                   Duration time) const {
+  const auto found = this->servers.find(server.id);
+  if (found == this->servers.end()) return Duration(0);
+  const unsigned slots = std::max(1U, found->second.listed.slots);
+  if (this->instance_count <= slots) return Duration(0);
+  const double first_requests_s = static_cast<double>(this->instance_count) *
+                                  ToSeconds(this->MeanServiceTime()) / slots;
+  // The requests that piled up meanwhile come over at most as long a time.
+  const double longest_s = std::min(first_requests_s / kFirstRequestsShare,
+                                    ToSeconds(std::min(time, kMaxBackOff)));
+  return FromSeconds(longest_s * RandomUnitOf(server, this->delay_seed));
 }
 
 Duration ServerLoads::BackOffLeft(std::string_view id, Instant now) const {
--- a/src/policy/server_loads.h
+++ b/src/policy/server_loads.h
@@ -11,6 +11,7 @@
 #ifndef CHERVILMUX_POLICY_SERVER_LOADS_H_
 #define CHERVILMUX_POLICY_SERVER_LOADS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -115,6 +116,10 @@
   explicit ServerLoads(std::string own_failure_domain,
                        const ServerLoadsTuning& tuning = {});
 
+  /// Sets the number of instances that share the servers. `delay_seed` decides
+  /// where among them this one returns to a server after its back-off.
+  void SetInstances(std::size_t count, std::uint64_t delay_seed);
+
   /// Replaces the list of the service's servers. The previous list is known to
   /// have been valid until `unchanged_until`; kNever when that is unknown.
   void Update(std::span<const model::BackendServer> servers,
@@ -170,8 +175,9 @@
   bool OnDraining(const ServerRun& server, std::string_view request_id,
                   kernel::Instant now);
 
-  /// Records that an answer of `server` asked for no requests for `time`.
-  /// Returns whether that moved the end of its back-off.
+  /// Records that an answer of `server` asked for no requests for `time`. This
+  /// instance adds a delay if there are more instances than the server has
+  /// slots. Returns whether that moved the end of its back-off.
   bool OnBackOff(const ServerRun& server, kernel::Duration time,
                  std::string_view request_id, kernel::Instant now);
 
@@ -274,6 +280,10 @@
                             kernel::Instant now) const;
   const DrainNotice* FindDraining(const Server& server) const;
   bool IsDraining(const Server& server) const;
+  /// The delay of this instance's first request after the back-off of `server`,
+  /// which asked for `time`.
+  kernel::Duration BackOffDelay(const ServerRun& server,
+                                kernel::Duration time) const;
   /// The end of the time for which `server` wants no requests.
   kernel::Instant BackOffEnd(const Server& server) const;
   /// Whether `server` can get a request after its back-off, if it had one.
@@ -301,6 +311,8 @@
   ServerLoadsTuning tuning;
   std::map<std::string, Server, std::less<>> servers;
   ServerNotices notices;
+  std::size_t instance_count = 1;
+  std::uint64_t delay_seed = 0;
   double mean_service_time_s = 0;  ///< Over all servers.
   /// Mean of `other_instances_load` per slot, over all servers.
   double mean_other_load_per_slot = 0;
--- a/src/policy/server_notices.cc
+++ b/src/policy/server_notices.cc
@@ -34,12 +34,14 @@
   return found == this->draining.end() ? nullptr : &found->second;
 }
 
-bool ServerNotices::OnBackOff(const ServerRun& server, Duration time,
+bool ServerNotices::OnBackOff(const ServerRun& server, const BackOffTime& time,
                               std::string_view request_id, Instant now) {
-  const Instant until = now + std::min(time, kMaxBackOff);
+  const Instant asked_until = now + std::min(time.asked, kMaxBackOff);
   BackOffNotice& back_off = this->back_offs[server];
-  if (until <= back_off.until) return false;
-  back_off = {{NoticeKind::kBackOff, std::string(request_id), now}, until};
+  if (asked_until <= back_off.asked_until) return false;
+  back_off = {{NoticeKind::kBackOff, std::string(request_id), now},
+              asked_until,
+              asked_until + time.delay};
   this->forget_at[server] = now + kUnlistedMemory;
   return true;
 }
--- a/src/policy/server_notices.h
+++ b/src/policy/server_notices.h
@@ -52,10 +52,19 @@
   kernel::Instant deadline = kernel::kNever;
 };
 
+/// How long a server gets no requests of this instance.
+struct BackOffTime {
+  kernel::Duration asked{0};  ///< By the server.
+  /// Added by this instance, so that not all instances return in one instant.
+  kernel::Duration delay{0};
+};
+
 /// The answer in which a server asked for no requests for a while. Afterwards
 /// it gets one request at a time, and one more for each that it serves.
 struct BackOffNotice {
   NoticeSource source;
+  kernel::Instant asked_until = kernel::kNever;
+  /// `asked_until` and the delay of this instance.
   kernel::Instant until = kernel::kNever;
   unsigned max_in_flight = 1;
   unsigned in_flight = 0;  ///< Requests sent since `until`.
@@ -73,10 +82,10 @@
   const DrainNotice* FindDraining(std::string_view id,
                                   std::uint64_t life) const;
 
-  /// Records that an answer of `server` asked for no requests for `time`, of
-  /// which at most kMaxBackOff count. Returns false when an earlier answer
+  /// Records that an answer of `server` asked for no requests for `time.asked`,
+  /// of which at most kMaxBackOff count. Returns false when an earlier answer
   /// named a later end, which stays.
-  bool OnBackOff(const ServerRun& server, kernel::Duration time,
+  bool OnBackOff(const ServerRun& server, const BackOffTime& time,
                  std::string_view request_id, kernel::Instant now);
 
   /// The end of the time for which this run of `id` wants no requests, or
--- a/test/correctness/server_notices_test.cc
+++ b/test/correctness/server_notices_test.cc
@@ -4,6 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <random>
@@ -288,6 +291,62 @@
   }
 }
 
+// Failure: instances that a server turned away in one instant all return to it
+// in one instant, more of them than it has slots.
+TEST_CASE("a server that asked many instances for quiet") {
+  std::size_t count = 0;
+  SUBCASE("gets the first requests of a few") { count = 8; }
+  SUBCASE("gets the first requests of many") { count = 16; }
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    std::vector<NoticeService> instances(count);
+    const Instant end = instances[0].now + seconds(2);
+    for (auto& instance : instances) {
+      instance.loads.SetInstances(count, random());
+      instance.loads.OnBackOff(kFirstRun, seconds(2), "r-1", instance.now);
+    }
+    const auto started = [&](Instant at) {
+      return std::ranges::count_if(instances, [&](const auto& instance) {
+        return instance.loads.HasCapacity("s0", at);
+      });
+    };
+    CHECK(started(end - milliseconds(1)) == 0);
+    CHECK(started(end + milliseconds(100)) <= 4);
+    CHECK(started(end + seconds(2)) == static_cast<std::ptrdiff_t>(count));
+  }
+}
+
+// Failure: a server that has a slot for each instance waits longer than asked.
+TEST_CASE("a server that asked as few instances as it has slots for quiet") {
+  NoticeService service;
+  service.loads.SetInstances(4, 1);
+  service.loads.OnBackOff(kFirstRun, seconds(2), "r-1", service.now);
+  CHECK(service.loads.BackOffLeft("s0", service.now) == seconds(2));
+  CHECK(service.loads.HasCapacity("s0", service.now + seconds(2)));
+}
+
+// Failure: further answers move an instance's return although they name no
+// later end, or a bad value moves it far beyond the bound.
+TEST_CASE("an instance's return to a server that asked for quiet") {
+  NoticeService service;
+  service.loads.SetInstances(300, 1);
+  service.loads.OnBackOff(kFirstRun, seconds(2), "r-1", service.now);
+  const Duration left = service.loads.BackOffLeft("s0", service.now);
+  SUBCASE("stays when another answer names the same end") {
+    CHECK_FALSE(
+        service.loads.OnBackOff(kFirstRun, seconds(2), "r-2", service.now));
+    CHECK(service.loads.BackOffLeft("s0", service.now) == left);
+  }
+  SUBCASE("is at most as much later as the server asked") {
+    CHECK(left >= seconds(2));
+    CHECK(left <= seconds(4));
+    service.loads.OnBackOff(kFirstRun, std::chrono::hours(1000000), "r-2",
+                            service.now);
+    CHECK(service.loads.BackOffLeft("s0", service.now) <= 2 * kMaxBackOff);
+  }
+}
+
 // Failure: callers are told to return while the server wants no requests, or
 // all of them return in one instant.
 TEST_CASE("a caller whose server wants no requests for a while is told when") {
