The servers of the notice world have a file of their own

Change: servers and the store go to notice_servers, the queue of events to notice_events. The comments on back-offs in src/policy say that a server gets no requests, as an instance's own delay counts too. Measured: notices-at-scale prints the same table, byte for byte; correctness (76 cases), scenario_load and error pass.

--- a/src/policy/server_loads.h
+++ b/src/policy/server_loads.h
@@ -181,7 +181,8 @@
   bool OnBackOff(const ServerRun& server, kernel::Duration time,
                  std::string_view request_id, kernel::Instant now);
 
-  /// Remaining time for which `id` wants no requests; zero when it wants some.
+  /// Remaining time for which `id` gets no requests because it asked for none;
+  /// zero when it gets some.
   kernel::Duration BackOffLeft(std::string_view id, kernel::Instant now) const;
 
   /// Remaining time until the first of the servers that neither are ejected for
@@ -284,7 +285,8 @@
   /// which asked for `time`.
   kernel::Duration BackOffDelay(const ServerRun& server,
                                 kernel::Duration time) const;
-  /// The end of the time for which `server` wants no requests.
+  /// The end of the time for which `server` gets no requests because it asked
+  /// for none.
   kernel::Instant BackOffEnd(const Server& server) const;
   /// Whether `server` can get a request after its back-off, if it had one.
   bool MayStart(const Server& server, kernel::Instant now) const;
--- a/src/policy/server_notices.h
+++ b/src/policy/server_notices.h
@@ -33,9 +33,9 @@
 /// The name of `kind` in metrics.
 std::string_view NameOf(NoticeKind kind);
 
-/// Longest time for which one answer makes a server get nothing: a faulty one
-/// may name any time. A server that wants three times as long says so again to
-/// the one request that it gets after each third.
+/// Longest time that a server can ask for with one answer: a faulty one may
+/// name any time. A server that wants three times as long says so again to the
+/// one request that it gets after each third.
 inline constexpr kernel::Duration kMaxBackOff = kernel::seconds(10);
 
 /// The answer that made this instance stop sending to a server.
@@ -88,8 +88,8 @@
   bool OnBackOff(const ServerRun& server, const BackOffTime& time,
                  std::string_view request_id, kernel::Instant now);
 
-  /// The end of the time for which this run of `id` wants no requests, or
-  /// kNever when there is none.
+  /// The end of the time for which this run of `id` gets no requests because it
+  /// asked for none, or kNever when there is none.
   kernel::Instant BackOffEnd(std::string_view id, std::uint64_t life) const;
 
   /// The back-off of this run of `id`, or null when it is over and the server
--- a/test/scenario/notice_judge.h
+++ b/test/scenario/notice_judge.h
@@ -15,6 +15,7 @@
 namespace chervilmux::scenario {
 
 inline constexpr unsigned kSlots = 4;  ///< Of each server.
+inline constexpr double kMeanServiceTimeS = 0.1;
 /// How long a server that leaves may get requests, and runs once the store
 /// knows.
 inline constexpr double kDrainBoundS = 2;
--- a/test/scenario/notice_world.cc
+++ b/test/scenario/notice_world.cc
@@ -3,18 +3,18 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
-#include <functional>
-#include <map>
 #include <memory>
-#include <numeric>
 #include <optional>
 #include <random>
+#include <string>
 #include <utility>
 #include <vector>
 
 #include "kernel/error.h"
 #include "kernel/time.h"
+#include "notice_events.h"
 #include "notice_judge.h"
+#include "notice_servers.h"
 #include "policy/admission.h"
 #include "policy/retry_policy.h"
 #include "policy/server_loads.h"
@@ -30,25 +30,16 @@
 using policy::AttemptOutcome;
 
 // Times in seconds since the start of the run.
-constexpr double kStoreAwayFromS = kStatementS - 0.5;
-constexpr double kStoreBackS = kStatementS + 5;
 constexpr double kRestartS = kStatementS + 0.8;
 
 constexpr double kDownForS = 0.5;
 constexpr double kListPeriodS = 0.5;
 constexpr double kListDelayS = 0.05;
-constexpr double kOwnersMoveS = 0.5;
 constexpr double kNetworkDelayS = 0.0015;
 constexpr double kRecheckPeriodS = 0.01;
 /// Share of the requests for which a connection must be opened first.
 constexpr double kNewConnectionShare = 0.1;
 
-constexpr std::size_t kMaxQueued = 12;
-constexpr unsigned kKeysPerServer = 8;
-constexpr double kMeanServiceTimeS = 0.1;
-/// Standard deviation of the logarithm of the service time.
-constexpr double kServiceTimeSigma = 0.5;
-
 constexpr double kTimeoutS = 1;
 constexpr double kMaxWaitS = 0.12;
 constexpr unsigned kMaxAttempts = 3;
@@ -61,23 +52,6 @@
 constexpr Duration kNotReadyRetryAfter = kernel::milliseconds(250);
 constexpr Duration kNoOwnerRetryAfter = kernel::milliseconds(300);
 
-struct Answer {
-  bool reached = true;  ///< Otherwise no connection could be established.
-  bool not_run = false;
-  bool draining = false;
-  std::optional<double> quiet_until;
-  std::optional<policy::ReportedLoad> load;
-};
-
-struct Server {
-  std::string id;
-  unsigned running = 0;
-  std::deque<std::function<void()>> queued;
-  bool leaving = false;
-  bool gone = false;
-  double quiet_until = 0;
-};
-
 /// A caller's request, at one instance.
 struct Request {
   double first_asked_at = 0;
@@ -116,183 +90,33 @@
   explicit World(const NoticeTrial& trial)
       : trial(trial),
         random(trial.seed),
-        servers(trial.servers),
+        servers(trial, this->events, this->random),
         runs(trial.instances),
         judge(trial.servers) {
-    for (unsigned i = 0; i < trial.servers; ++i) {
-      this->servers[i].id = std::to_string(i);
-      this->numbers[this->servers[i].id] = i;
-      model::BackendServer listed;
-      listed.id = this->servers[i].id;
-      listed.failure_domain = "domain";
-      listed.slots = kSlots;
-      listed.life = 1;
-      this->stored.push_back(listed);
-      this->owners.insert(this->owners.end(), kKeysPerServer, i);
-    }
     for (unsigned i = 0; i < trial.instances; ++i) this->StartInstance(i);
   }
 
   NoticeCounts Play() {
     this->ScheduleCallers();
-    this->At(kStatementS, [this] { this->MakeStatements(); });
-    this->At(kRestartS, [this] { this->RestartInstances(); });
-    while (!this->events.empty()) {
-      const auto event = this->events.begin();
-      const auto action = std::move(event->second);
-      this->now = event->first;
-      this->events.erase(event);
-      action();
-    }
+    this->events.At(kStatementS, [this] { this->servers.MakeStatements(); });
+    this->events.At(kRestartS, [this] { this->RestartInstances(); });
+    this->events.Play();
     return this->judge.Result(this->trial);
   }
 
  private:
-  void At(double at, std::function<void()> action) {
-    this->events.emplace(at, std::move(action));
-  }
-  void After(double delay, std::function<void()> action) {
-    this->At(this->now + delay, std::move(action));
-  }
-  Instant Now() const { return Instant(FromSeconds(this->now)); }
+  double NowS() const { return this->events.NowS(); }
+  Instant Now() const { return this->events.Now(); }
   double RandomUnit() {
     return std::uniform_real_distribution<double>(0, 1)(this->random);
   }
-  bool StoreIsAway() const {
-    return this->trial.store_away && this->now >= kStoreAwayFromS &&
-           this->now < kStoreBackS;
-  }
-
-  // Servers and the store.
-
-  void MakeStatements() {
-    const auto count = static_cast<double>(this->servers.size());
-    const auto leaving =
-        static_cast<unsigned>(std::ceil(this->trial.leaving_share * count));
-    const auto quiet =
-        static_cast<unsigned>(std::ceil(this->trial.quiet_share * count));
-    std::vector<unsigned> order(this->servers.size());
-    std::iota(order.begin(), order.end(), 0U);
-    std::ranges::shuffle(order, this->random);
-    for (unsigned i = 0; i < leaving; ++i) this->Leave(order[i]);
-    std::ranges::shuffle(order, this->random);
-    for (unsigned i = 0; i < quiet; ++i)
-      this->servers[order[i]].quiet_until = kQuietEndS;
-  }
-
-  void Leave(unsigned number) {
-    this->servers[number].leaving = true;
-    if (this->trial.store_away) {
-      this->At(kStoreBackS, [this, number] { this->StoreLeaving(number); });
-    } else {
-      this->StoreLeaving(number);
-    }
-  }
-
-  void StoreLeaving(unsigned number) {
-    this->stored[number].draining = true;
-    this->After(kOwnersMoveS, [this, number] {
-      for (unsigned& owner : this->owners) {
-        if (owner == number) owner = this->AnyStayingServer();
-      }
-    });
-    this->After(kDrainBoundS, [this, number] {
-      this->servers[number].gone = true;
-      this->gone.push_back(this->servers[number].id);
-    });
-  }
-
-  unsigned AnyStayingServer() {
-    unsigned number = 0;
-    do {
-      number = static_cast<unsigned>(this->RandomUnit() *
-                                     static_cast<double>(this->servers.size()));
-    } while (this->servers[number].leaving);
-    return number;
-  }
-
-  std::vector<model::BackendServer> Listed() const {
-    std::vector<model::BackendServer> listed;
-    for (const auto& server : this->stored) {
-      if (std::ranges::find(this->gone, server.id) == this->gone.end())
-        listed.push_back(server);
-    }
-    return listed;
-  }
-
-  policy::ReportedLoad LoadOf(const Server& server) const {
-    return {server.running, static_cast<unsigned>(server.queued.size()),
-            kSlots};
-  }
-
-  void Arrive(const RunPtr& run, const RequestPtr& request) {
-    const unsigned number = this->numbers.at(request->server_id);
-    Server& server = this->servers[number];
-    Answer answer;
-    answer.draining = server.leaving;
-    if (server.gone) {
-      answer.reached = false;
-      this->Reply(run, request, answer);
-      return;
-    }
-    request->arrivals += 1;
-    this->judge.OnArrival({.at = this->now,
-                           .asked_at = request->asked_at,
-                           .sent_at = request->sent_at,
-                           .is_repeat = request->arrivals > 1,
-                           .server = number,
-                           .quiet_until = server.quiet_until},
-                          run->told[number]);
-    if (this->now < server.quiet_until) {
-      answer.not_run = true;
-      answer.quiet_until = server.quiet_until;
-      this->judge.OnTurnedAway(run->told[number], this->now);
-    } else if (server.running >= kSlots && server.queued.size() >= kMaxQueued) {
-      answer.not_run = true;
-    }
-    if (answer.not_run) {
-      answer.load = this->LoadOf(server);
-      this->Reply(run, request, answer);
-      return;
-    }
-    server.queued.push_back([this, run, request, number] {
-      this->After(this->RandomServiceTime(), [this, run, request, number] {
-        this->Complete(run, request, this->servers[number]);
-      });
-    });
-    this->RunNext(server);
-  }
-
-  void Complete(const RunPtr& run, const RequestPtr& request, Server& server) {
-    server.running -= 1;
-    Answer answer;
-    answer.draining = server.leaving;
-    answer.load = this->LoadOf(server);
-    this->Reply(run, request, answer);
-    this->RunNext(server);
-  }
-
-  void RunNext(Server& server) {
-    if (server.running >= kSlots || server.queued.empty()) return;
-    server.running += 1;
-    const auto start = std::move(server.queued.front());
-    server.queued.pop_front();
-    start();
-  }
-
-  double RandomServiceTime() {
-    const double median = kMeanServiceTimeS *
-                          std::exp(-kServiceTimeSigma * kServiceTimeSigma / 2);
-    return std::lognormal_distribution<double>(std::log(median),
-                                               kServiceTimeSigma)(this->random);
-  }
 
   // Instances.
 
   void StartInstance(unsigned number) {
     auto run = std::make_shared<Run>();
-    run->told.resize(this->servers.size());
-    run->owners = this->owners;
+    run->told.resize(this->servers.Count());
+    run->owners = this->servers.Owners();
     const auto count = static_cast<double>(this->trial.instances);
     run->budget = policy::RetryBudget(kRetryRatio * kRetryBudgetShare,
                                       kRetrySlack * kRetryBudgetShare / count);
@@ -300,24 +124,25 @@
       run->loads.SetInstances(this->trial.instances, this->random());
     this->runs[number] = run;
     // The first list comes from the store or, while that is away, from a peer.
-    run->loads.Update(this->Listed(), kernel::kNever, this->Now());
+    run->loads.Update(this->servers.Listed(), kernel::kNever, this->Now());
     run->list_read_at = this->Now();
-    this->After(this->RandomUnit() * kListPeriodS,
-                [this, run] { this->ReadList(run); });
+    this->events.After(this->RandomUnit() * kListPeriodS,
+                       [this, run] { this->ReadList(run); });
   }
 
   void ReadList(const RunPtr& run) {
-    if (run->ended || this->now > kLastAskedS) return;
-    this->After(kListPeriodS, [this, run] { this->ReadList(run); });
-    if (this->StoreIsAway()) return;
+    if (run->ended || this->NowS() > kLastAskedS) return;
+    this->events.After(kListPeriodS, [this, run] { this->ReadList(run); });
+    if (this->servers.StoreIsAway()) return;
     this->judge.counts.messages += 2;
-    this->After(kListDelayS, [this, run, listed = this->Listed(),
-                              owners = this->owners, read_at = this->Now()] {
-      run->loads.Update(listed, run->list_read_at, this->Now());
-      run->list_read_at = read_at;
-      run->owners = owners;
-      this->DispatchQueue(run);
-    });
+    this->events.After(
+        kListDelayS, [this, run, listed = this->servers.Listed(),
+                      owners = this->servers.Owners(), read_at = this->Now()] {
+          run->loads.Update(listed, run->list_read_at, this->Now());
+          run->list_read_at = read_at;
+          run->owners = owners;
+          this->DispatchQueue(run);
+        });
   }
 
   void RestartInstances() {
@@ -331,7 +156,7 @@
         this->ComeBack(*request, kDownForS);
       }
       run->waiting.clear();
-      this->After(kDownForS, [this, i] { this->StartInstance(i); });
+      this->events.After(kDownForS, [this, i] { this->StartInstance(i); });
     }
   }
 
@@ -350,7 +175,7 @@
     const Instant at = this->Now();
     if (loads.UsableSlots(at) == 0) {
       if (const auto left = loads.ShortestBackOffLeft(at)) {
-        this->RefuseUntil(request, *left, this->FirstQuietEnd());
+        this->RefuseUntil(request, *left, this->servers.FirstQuietEnd());
       } else {
         this->Refuse(run, request, kNotReadyRetryAfter);
       }
@@ -369,31 +194,32 @@
   bool FindOwner(const RunPtr& run, const RequestPtr& request) {
     policy::ServerLoads& loads = run->loads;
     const Instant at = this->Now();
-    const Server& owner = this->servers[run->owners[request->key]];
-    const auto drain_deadline = loads.DrainDeadline(owner.id);
-    if (!loads.EstimateLoad(owner.id, at) ||
+    const unsigned owner_number = run->owners[request->key];
+    const std::string& owner = this->servers.IdOf(owner_number);
+    const auto drain_deadline = loads.DrainDeadline(owner);
+    if (!loads.EstimateLoad(owner, at) ||
         (drain_deadline && at > *drain_deadline)) {
       this->Refuse(run, request, kNoOwnerRetryAfter);
       return false;
     }
-    const Duration left = loads.BackOffLeft(owner.id, at);
+    const Duration left = loads.BackOffLeft(owner, at);
     if (left.count() > 0) {
-      this->RefuseUntil(request, left, owner.quiet_until);
+      this->RefuseUntil(request, left, this->servers.QuietUntil(owner_number));
       return false;
     }
-    if (loads.IsEjected(owner.id, at)) {
+    if (loads.IsEjected(owner, at)) {
       this->Refuse(run, request, kNoOwnerRetryAfter);
       return false;
     }
-    const Duration full_for = loads.FullFor(owner.id, at);
+    const Duration full_for = loads.FullFor(owner, at);
     const double wait_deadline =
-        request->is_waiting ? request->wait_deadline : this->now + kMaxWaitS;
-    if (this->now + ToSeconds(full_for) > wait_deadline) {
+        request->is_waiting ? request->wait_deadline : this->NowS() + kMaxWaitS;
+    if (this->NowS() + ToSeconds(full_for) > wait_deadline) {
       this->Refuse(run, request, full_for);
       return false;
     }
-    if (!loads.HasCapacity(owner.id, at)) return true;
-    this->Send(run, request, owner.id);
+    if (!loads.HasCapacity(owner, at)) return true;
+    this->Send(run, request, owner);
     return false;
   }
 
@@ -409,16 +235,16 @@
             return run->owners[other->key] == owner;
           }));
       queue.completions_per_second =
-          run->loads.MaxThroughput(this->servers[owner].id, this->Now());
+          run->loads.MaxThroughput(this->servers.IdOf(owner), this->Now());
     }
     queue.max_wait = FromSeconds(kMaxWaitS);
     if (!policy::ShouldQueue(queue,
-                             FromSeconds(request->deadline - this->now))) {
+                             FromSeconds(request->deadline - this->NowS()))) {
       this->Refuse(run, request, policy::ExpectedWait(queue));
       return;
     }
     request->is_waiting = true;
-    request->wait_deadline = this->now + kMaxWaitS;
+    request->wait_deadline = this->NowS() + kMaxWaitS;
     run->waiting.push_back(request);
     this->Recheck(run);
   }
@@ -426,7 +252,7 @@
   void Recheck(const RunPtr& run) {
     if (run->rechecks) return;
     run->rechecks = true;
-    this->After(kRecheckPeriodS, [this, run] {
+    this->events.After(kRecheckPeriodS, [this, run] {
       run->rechecks = false;
       this->DispatchQueue(run);
       if (!run->waiting.empty()) this->Recheck(run);
@@ -442,7 +268,7 @@
         std::erase(run->waiting, request);
         continue;
       }
-      if (this->now >= std::min(request->wait_deadline, request->deadline)) {
+      if (this->NowS() >= std::min(request->wait_deadline, request->deadline)) {
         request->is_waiting = false;
         std::erase(run->waiting, request);
         this->Refuse(run, request, run->loads.MeanServiceTime());
@@ -456,28 +282,49 @@
             const std::string& id) {
     run->loads.OnSent(id);
     request->server_id = id;
-    request->sent_at = this->now;
+    request->sent_at = this->NowS();
     this->judge.counts.messages += 1;
     if (this->RandomUnit() >= kNewConnectionShare) {
-      this->After(kNetworkDelayS,
-                  [this, run, request] { this->Arrive(run, request); });
+      this->events.After(kNetworkDelayS,
+                         [this, run, request] { this->Arrive(run, request); });
       return;
     }
-    this->After(2 * kNetworkDelayS, [this, run, request] {
+    this->events.After(2 * kNetworkDelayS, [this, run, request] {
       const bool may_send = run->loads.MaySend({request->server_id, 1},
                                                this->trial.keyed, this->Now());
       if (may_send) {
-        this->After(kNetworkDelayS,
-                    [this, run, request] { this->Arrive(run, request); });
+        this->events.After(kNetworkDelayS, [this, run, request] {
+          this->Arrive(run, request);
+        });
       } else {
         this->OnNotSent(run, request, AttemptOutcome::kInconclusive);
       }
     });
   }
 
+  void Arrive(const RunPtr& run, const RequestPtr& request) {
+    const unsigned number = this->servers.NumberOf(request->server_id);
+    if (!this->servers.HasEnded(number)) {
+      request->arrivals += 1;
+      this->judge.OnArrival({.at = this->NowS(),
+                             .asked_at = request->asked_at,
+                             .sent_at = request->sent_at,
+                             .is_repeat = request->arrivals > 1,
+                             .server = number,
+                             .quiet_until = this->servers.QuietUntil(number)},
+                            run->told[number]);
+    }
+    this->servers.Arrive(
+        number, [this, run, request, number](const NoticeAnswer& answer) {
+          if (answer.quiet_until)
+            this->judge.OnTurnedAway(run->told[number], this->NowS());
+          this->Reply(run, request, answer);
+        });
+  }
+
   void Reply(const RunPtr& run, const RequestPtr& request,
-             const Answer& answer) {
-    this->After(kNetworkDelayS, [this, run, request, answer] {
+             const NoticeAnswer& answer) {
+    this->events.After(kNetworkDelayS, [this, run, request, answer] {
       if (run->ended) {
         this->ComeBack(*request, kDownForS);
         return;
@@ -503,7 +350,7 @@
   }
 
   void OnAnswer(const RunPtr& run, const RequestPtr& request,
-                const Answer& answer) {
+                const NoticeAnswer& answer) {
     this->OnStatements(*run, *request, answer);
     if (!answer.not_run) {
       this->RecordCompletion(*run, *request, AttemptOutcome::kServed,
@@ -533,16 +380,17 @@
     }
   }
 
-  void OnStatements(Run& run, const Request& request, const Answer& answer) {
+  void OnStatements(Run& run, const Request& request,
+                    const NoticeAnswer& answer) {
     const policy::ServerRun server{request.server_id, 1};
     if (answer.quiet_until && this->trial.heeds_back_off) {
       // What the server states is the rest at the time of its answer.
-      const double rest = *answer.quiet_until - (this->now - kNetworkDelayS);
+      const double rest = *answer.quiet_until - (this->NowS() - kNetworkDelayS);
       run.loads.OnBackOff(server, FromSeconds(rest), "r", this->Now());
     }
     if (!answer.draining) return;
-    this->judge.OnDrainNotice(run.told[this->numbers.at(request.server_id)],
-                              this->now);
+    this->judge.OnDrainNotice(
+        run.told[this->servers.NumberOf(request.server_id)], this->NowS());
     if (this->trial.heeds_draining)
       run.loads.OnDraining(server, "r", this->Now());
   }
@@ -551,7 +399,7 @@
                         AttemptOutcome outcome,
                         const std::optional<policy::ReportedLoad>& load) {
     run.loads.OnCompletion(request.server_id, outcome,
-                           FromSeconds(this->now - request.sent_at), load,
+                           FromSeconds(this->NowS() - request.sent_at), load,
                            this->Now());
     run.rate.OnCompletion(this->Now());
   }
@@ -560,7 +408,7 @@
                       ErrorKind failure) {
     const bool never_sent = failure == ErrorKind::kServerConnect;
     const double service_time = ToSeconds(run->loads.MeanServiceTime());
-    if (this->now + service_time / 2 >= request->deadline) return false;
+    if (this->NowS() + service_time / 2 >= request->deadline) return false;
     const bool exhausted =
         never_sent ? request->failed_connects >= kMaxFailedConnects
                    : request->tried.size() >= kMaxAttempts + kExtraSends;
@@ -588,30 +436,25 @@
         ToSeconds(this->trial.tells_rest ? policy::RetryAfterBackOff(rest, unit)
                                          : policy::RetryAfter(rest, unit));
     this->judge.counts.told += 1;
-    if (this->now + retry_after < quiet_until)
+    if (this->NowS() + retry_after < quiet_until)
       this->judge.counts.told_too_early += 1;
     this->ComeBack(*request, retry_after);
   }
 
-  /// When the first of the servers that all want no requests wants some.
-  double FirstQuietEnd() const {
-    return std::ranges::min(this->servers, {}, &Server::quiet_until)
-        .quiet_until;
-  }
-
   // Callers.
 
   void ScheduleCallers() {
     std::exponential_distribution<double> gap(
         this->trial.utilization * kSlots *
-        static_cast<double>(this->servers.size()) / kMeanServiceTimeS);
+        static_cast<double>(this->servers.Count()) / kMeanServiceTimeS);
     double at = kFirstAskedS;
     while (at < kLastAskedS) {
-      this->At(at, [this] {
+      this->events.At(at, [this] {
         Request request;
-        request.first_asked_at = this->now;
+        request.first_asked_at = this->NowS();
         request.key = static_cast<unsigned>(
-            this->RandomUnit() * static_cast<double>(this->owners.size()));
+            this->RandomUnit() *
+            static_cast<double>(this->servers.Owners().size()));
         this->judge.counts.asked += 1;
         this->Ask(request);
       });
@@ -625,33 +468,28 @@
     next.first_asked_at = request.first_asked_at;
     next.returns = request.returns + 1;
     next.key = request.key;
-    this->After(delay, [this, next] { this->Ask(next); });
+    this->events.After(delay, [this, next] { this->Ask(next); });
   }
 
   void Ask(const Request& asked) {
     auto request = std::make_shared<Request>(asked);
-    request->asked_at = this->now;
-    request->deadline = this->now + kTimeoutS;
+    request->asked_at = this->NowS();
+    request->deadline = this->NowS() + kTimeoutS;
     RunPtr run;
     do {
       run = this->runs[static_cast<std::size_t>(
           this->RandomUnit() * static_cast<double>(this->runs.size()))];
     } while (run->ended);
-    this->judge.OnAsked(this->now);
+    this->judge.OnAsked(this->NowS());
     run->budget.OnFirstAttempt();
     this->Dispatch(run, request);
   }
 
   NoticeTrial trial;
   std::mt19937_64 random;
-  double now = kFirstAskedS / 2;
-  std::multimap<double, std::function<void()>> events;
-  std::vector<Server> servers;
-  std::map<std::string, unsigned> numbers;  ///< Of the servers, by id.
-  std::vector<model::BackendServer> stored;
-  std::vector<std::string> gone;  ///< Ids of servers that have ended.
-  std::vector<unsigned> owners;   ///< Of the keys, as stored.
-  std::vector<RunPtr> runs;       ///< Of the instances, the last of each.
+  NoticeEvents events;
+  NoticeServers servers;
+  std::vector<RunPtr> runs;  ///< Of the instances, the last of each.
   NoticeJudge judge;
 };
 
