A claim of the lease does not wait for the next turn to read

Wrong: an instance with little processor time becomes the leader although others have more, which the claim's delay by processor share is to prevent. Then most instances get no answer from the leader in time: keys move late, and the store is called much more often. Callers see refusals for keys whose owners have changed.

Change: a follower reads the lease again as soon as its time is over, so that claims come in the order in which instances began to suspect the leader.

Failed before: the new case of lease_reads_test, where the later follower claimed up to 0.2 s earlier.

--- a/src/ranges/range_grantor.cc
+++ b/src/ranges/range_grantor.cc
@@ -199,7 +199,14 @@
       this->lease_read_at != kernel::kNever &&
       now - this->lease_read_at < this->timing.lease_timeout;
   this->lease_read_at = now;
-  if (!is_first && rows.lease_version == this->seen_lease_version) return;
+  if (!is_first && rows.lease_version == this->seen_lease_version) {
+    // The order of claims is that of the jitters, not of the turns to read.
+    const Instant expires_at =
+        this->lease_seen_since + this->timing.lease_timeout;
+    if (expires_at > now)
+      this->next_read_at = std::min(this->next_read_at, expires_at);
+    return;
+  }
   this->seen_lease_version = rows.lease_version;
   this->lease_seen_since = now;
   if (!is_first && read_lately && rows.lease_version != 0) {
--- a/test/correctness/lease_reads_test.cc
+++ b/test/correctness/lease_reads_test.cc
@@ -41,9 +41,14 @@
     const Instant end = this->now + length;
     while (this->now < end && !this->claimed) this->Step();
   }
+  void HearOfLeader() {
+    this->grantor.OnLeaderContact(*this->rows.table, this->now);
+  }
+  Instant Now() const { return this->now; }
 
   GrantorTiming timing;
   bool leader_runs = true;
+  bool hears_leader = false;
   bool claimed = false;
   unsigned lease_reads = 0;
   unsigned table_reads = 0;
@@ -55,10 +60,20 @@
       this->rows.lease_version += 1;
       this->next_renewal = this->now + this->timing.lease_write_period;
     }
+    if (this->hears_leader) this->HearOfLeader();
+    if (this->is_reading) {
+      this->is_reading = false;
+      this->OnRead();
+    }
     const GrantorActions actions = this->grantor.Tick(this->now);
     this->claimed = this->claimed || actions.write.has_value();
     if (!actions.read) return;
     this->lease_reads += 1;
+    this->is_reading = true;
+  }
+
+  /// The store answers one step after it was asked.
+  void OnRead() {
     GrantorRows lease_only = this->rows;
     lease_only.table.reset();
     lease_only.table_version = 0;
@@ -71,6 +86,7 @@
   GrantorRows rows;
   Instant now = kStart;
   Instant next_renewal = kStart;
+  bool is_reading = false;
 };
 
 }  // namespace
@@ -93,6 +109,34 @@
   CHECK(follower.table_reads <= 1);
 }
 
+// Failure: an instance with little processor time leads although others have
+// more, which read the lease just before its time is over and wait for their
+// next turn.
+TEST_CASE("of two followers that hear the same the earlier one claims first") {
+  constexpr double kEarlier = 0.1;
+  constexpr double kLater = 0.4;
+  /// The leader's last message reaches the earlier one sooner.
+  constexpr Duration kOnItsWay = milliseconds(50);
+  for (int i = 0; i < 200; ++i) {
+    const Duration last_heard = seconds(1) + i * milliseconds(10);
+    const auto claims_at = [](double claim_jitter, Duration heard_for) {
+      LonelyFollower follower(claim_jitter);
+      follower.Run(seconds(5));
+      follower.hears_leader = true;
+      follower.Run(seconds(5));
+      follower.hears_leader = false;
+      follower.leader_runs = false;
+      follower.Run(heard_for);
+      follower.HearOfLeader();
+      follower.Run(seconds(10));
+      CHECK(follower.claimed);
+      return kernel::ToMs(follower.Now() - kStart);
+    };
+    CHECK(claims_at(kEarlier, last_heard) <=
+          claims_at(kLater, last_heard + kOnItsWay));
+  }
+}
+
 // Failure: reading less often delays the change of leader, so that grants end.
 TEST_CASE("a leader that was not heard and stops is followed within 3.5 s") {
   constexpr Duration kLimit = milliseconds(3500);
