A call is sent in the turn of the loop that starts it

Wrong, as seen by callers: a call to the store or a peer left an instance that was behind one turn of its loop late. That turn counted against the call's time, also where a connection was open and the bytes could have left at once.

Cause: HttpClient::Start() only handed the transfer to libcurl, which began it at its own timer, in the loop's next turn.

Change: Start() has libcurl connect and send at once. An end that comes by that (a refused connection) is still told later, through the timer, never within Start().

Failed before: both cases of "a request that the client's task has started" in which the task does other things (no connection, no request within 10 s while the task was held). Pause moves from late_instance_test to a header of the fakes, unchanged; late_instance_test is as before otherwise.

Ruled out: nothing; a new connection still takes a turn between its opening and the request.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -188,6 +188,7 @@
     curl_multi_add_handle(this->multi, transfer->easy);
     const TransferId id = transfer->id;
     this->transfers.emplace(id, std::move(transfer));
+    this->Begin();
     return id;
   }
 
@@ -304,6 +305,15 @@
     curl_easy_setopt(transfer.easy, CURLOPT_HTTPHEADER, list);
   }
 
+  /// Lets libcurl connect and send at once: the task's next turn may be late.
+  void Begin() {
+    int running = 0;
+    curl_multi_socket_action(this->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    // An end is told later, not to a caller that is still in Start().
+    if (std::cmp_less(running, this->transfers.size()))
+      this->timer.SetOnce(kernel::Duration(0));
+  }
+
   static int OnSocket(CURL* /*easy*/, curl_socket_t socket, int what,
                       void* user, void* /*socket_data*/) {
     static_cast<Impl*>(user)->UpdateWatch(socket, what);
--- a/test/correctness/late_instance_test.cc
+++ b/test/correctness/late_instance_test.cc
@@ -12,34 +12,16 @@
 
 #include "data_path_ends.h"
 #include "loopback_listener.h"
+#include "pause.h"
 
 namespace chervilmux::net {
 namespace {
 
+using fakes::Pause;
+
 /// Longer than the time between two checks of time limits.
 constexpr kernel::Duration kBetweenChecks = milliseconds(300);
 
-/// Keeps a task from running, after it has done `first`.
-class Pause {
- public:
-  explicit Pause(
-      kernel::ReactorTask& task, const std::function<void()>& first = [] {}) {
-    std::promise<void> begun;
-    task.Post([&begun, first, end = this->end.get_future().share()] {
-      first();
-      begun.set_value();
-      end.wait();
-    });
-    begun.get_future().get();
-  }
-  ~Pause() { this->end.set_value(); }
-  Pause(const Pause&) = delete;
-  Pause& operator=(const Pause&) = delete;
-
- private:
-  std::promise<void> end;
-};
-
 /// A caller whose connection is idle.
 std::unique_ptr<Caller> IdleCaller(Front& front) {
   auto caller = std::make_unique<Caller>(front.address);
