An answer that arrived in time counts, also when libcurl reads it late

Wrong, as seen by callers: a call to the store or a peer whose whole answer lay in the socket ended as kTimedOut when the instance was behind, so that the store or the peer counted as silent. A request that had waited for a connection (at most so many to one address) ended not at its deadline but when a connection came free. A request whose deadline was over before the client got to it was sent nevertheless.

Cause: the deadline was passed on as a duration (CURLOPT_TIMEOUT_MS), which libcurl counts from when it gets to the transfer, and checks before it reads; it does not check transfers that wait for a connection.

Change: HttpClient keeps the deadlines as instants, with a timer of its own, and sets no time limit in libcurl (its connect limit, else 300 s, is put out of reach). When a deadline is over, libcurl first reads the sockets that have bytes or an end; what is unfinished then ends: kNotSent if no write had begun, kTimedOut otherwise. Its connection is closed as with Cancel(). No write begins after the deadline.

Without the check before a write three cases fail.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -3,13 +3,18 @@
 #include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
 #include <curl/curl.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "kernel/timer.h"
 #include "net/tcp.h"
@@ -18,6 +23,10 @@
 namespace {
 
 constexpr long kMaxIdleConnectionAgeS = 30;
+/// libcurl takes at least so much at a time of what lies in a socket.
+constexpr long kReadChunk = 16L << 10U;
+/// libcurl's own limit, unless set, is 300 s. Only the deadline counts here.
+constexpr long kNoConnectLimitMs = std::numeric_limits<int>::max();
 
 struct SlistFree {
   void operator()(curl_slist* list) const { curl_slist_free_all(list); }
@@ -102,6 +111,7 @@
 int OnBeforeRequest(void* user, char* /*primary_ip*/, char* /*local_ip*/,
                     int /*primary_port*/, int /*local_port*/) {
   auto& transfer = *static_cast<Transfer*>(user);
+  if (kernel::Now() >= transfer.options.deadline) return CURL_PREREQFUNC_ABORT;
   transfer.writes_begun += 1;
   const bool repeats = transfer.writes_begun > 1;
   return repeats && !transfer.options.may_repeat ? CURL_PREREQFUNC_ABORT
@@ -157,6 +167,7 @@
   Impl(kernel::ReactorTask& task, long max_connections)
       : task(task),
         timer(task.Reactor(), [this] { this->Drive(CURL_SOCKET_TIMEOUT, 0); }),
+        deadline_timer(task.Reactor(), [this] { this->CheckTime(); }),
         multi(curl_multi_init()) {
     curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &Impl::OnSocket);
     curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
@@ -188,7 +199,9 @@
     curl_multi_add_handle(this->multi, transfer->easy);
     const TransferId id = transfer->id;
     this->transfers.emplace(id, std::move(transfer));
+    this->deadlines.emplace(options.deadline, id);
     this->Begin();
+    this->AwaitDeadline();
     return id;
   }
 
@@ -221,6 +234,16 @@
       this->impl.Drive(this->socket, CURL_CSELECT_OUT);
       return 0;
     }
+    /// Whether bytes, or the connection's end, have arrived and were not read.
+    bool HasArrived() const {
+      pollfd entry{this->watched, POLLIN, 0};
+      return poll(&entry, 1, 0) == 1;
+    }
+    long UnreadBytes() const {
+      int bytes = 0;
+      const bool known = ioctl(this->watched, FIONREAD, &bytes) == 0;
+      return known ? bytes : 0;
+    }
     ACE_Reactor_Mask mask = 0;
 
    private:
@@ -239,7 +262,6 @@
 
   void Configure(Transfer& transfer) {
     CURL* easy = transfer.easy;
-    const auto left = kernel::ToMs(transfer.options.deadline - kernel::Now());
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
     curl_easy_setopt(easy, CURLOPT_URL, transfer.request.url.c_str());
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
@@ -247,8 +269,8 @@
     curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleConnectionAgeS);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                     std::max<long>(1, static_cast<long>(left)));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, kNoConnectLimitMs);
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReadChunk);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
@@ -355,6 +377,63 @@
     return 0;
   }
 
+  void AwaitDeadline() {
+    if (this->deadlines.empty()) {
+      this->deadline_timer.Cancel();
+      return;
+    }
+    const kernel::Duration left =
+        this->deadlines.begin()->first - kernel::Now();
+    this->deadline_timer.SetOnce(std::max(left, kernel::Duration(0)));
+  }
+
+  bool IsOverTime(kernel::Instant now) const {
+    return !this->deadlines.empty() && now >= this->deadlines.begin()->first;
+  }
+
+  /// Ends the transfers whose deadline is over. libcurl has no time limit of
+  /// its own: it would check that before it reads.
+  void CheckTime() {
+    const kernel::Instant now = kernel::Now();
+    // What has arrived counts, not what a task that is behind has read.
+    if (this->IsOverTime(now)) this->ReadArrived();
+    std::vector<TransferId> overdue;
+    for (const auto& [deadline, id] : this->deadlines) {
+      if (now < deadline) break;
+      overdue.push_back(id);
+    }
+    for (const TransferId id : overdue) {
+      const auto found = this->transfers.find(id);
+      if (found == this->transfers.end()) continue;
+      const Transfer& transfer = *found->second;
+      this->Finish(transfer.easy, EndOf(CURLE_OPERATION_TIMEDOUT, transfer, 0));
+    }
+    this->AwaitDeadline();
+  }
+
+  /// Has libcurl read what lies in the sockets that await an answer.
+  void ReadArrived() {
+    std::vector<curl_socket_t> sockets;
+    for (const auto& [socket, watch] : this->watches) {
+      const bool reads = (watch->mask & ACE_Event_Handler::READ_MASK) != 0;
+      if (reads && watch->HasArrived()) sockets.push_back(socket);
+    }
+    for (const curl_socket_t socket : sockets) this->ReadArrived(socket);
+  }
+
+  /// Reads what is there now, but not what comes meanwhile.
+  void ReadArrived(curl_socket_t socket) {
+    const auto first = this->watches.find(socket);
+    if (first == this->watches.end()) return;
+    // The last read is that of the connection's end.
+    long reads = first->second->UnreadBytes() / kReadChunk + 2;
+    for (; reads > 0; --reads) {
+      const auto found = this->watches.find(socket);
+      if (found == this->watches.end() || !found->second->HasArrived()) return;
+      this->Drive(socket, CURL_CSELECT_IN);
+    }
+  }
+
   void Drive(curl_socket_t socket, int events) {
     int running = 0;
     curl_multi_socket_action(this->multi, socket, events, &running);
@@ -383,6 +462,7 @@
     const auto found = this->transfers.find(raw->id);
     const std::unique_ptr<Transfer> transfer = std::move(found->second);
     this->transfers.erase(found);
+    this->deadlines.erase({transfer->options.deadline, transfer->id});
     TransferResult result;
     result.end = end;
     result.possibly_sent = transfer->writes_begun > 0;
@@ -401,11 +481,13 @@
   }
 
   kernel::ReactorTask& task;
-  kernel::Timer timer;
+  kernel::Timer timer;  ///< libcurl's own.
+  kernel::Timer deadline_timer;
   CURLM* multi;
   TransferId last_id = 0;
   int depth = 0;
   std::map<TransferId, std::unique_ptr<Transfer>> transfers;
+  std::set<std::pair<kernel::Instant, TransferId>> deadlines;
   std::map<curl_socket_t, std::unique_ptr<Watch>> watches;
   std::vector<std::unique_ptr<Watch>> retired;
   std::vector<CURL*> spare;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -44,6 +44,8 @@
 };
 
 struct TransferOptions {
+  /// No request is sent later. An answer that has arrived when the client gets
+  /// to look counts.
   kernel::Instant deadline;
   std::size_t max_answer_bytes = 1U << 20U;
   bool fresh_connection = false;    ///< Use no idle connection.
--- a/test/correctness/http_client_late_test.cc
+++ b/test/correctness/http_client_late_test.cc
@@ -1,4 +1,5 @@
-// A client whose task is behind.
+// A client whose task is behind: deadlines are over by the time at which it
+// reads what had arrived before.
 
 #include <doctest/doctest.h>
 #include <linux/sockios.h>
@@ -29,7 +30,7 @@
 using kernel::milliseconds;
 using kernel::seconds;
 
-constexpr kernel::Duration kTime = milliseconds(500);
+constexpr kernel::Duration kTime = seconds(1);
 /// Within this an end that is due comes, on a slow machine too.
 constexpr seconds kPatience = seconds(10);
 /// The time that a client gets to do what it must not do.
@@ -166,6 +167,23 @@
   return poll(&entry, 1, 0) == 1;
 }
 
+/// Connects to `listener` without a client. Returns the descriptor.
+int Connect(const LoopbackListener& listener) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  const ACE_INET_Addr to = listener.address.ToAce();
+  REQUIRE(connect(descriptor, static_cast<const sockaddr*>(to.get_addr()),
+                  static_cast<socklen_t>(to.get_size())) == 0);
+  return descriptor;
+}
+
+/// Holds `client` until after `result`'s deadline, while `arrive` happens in
+/// time.
+void HoldPastDeadline(LateClient& client, const std::function<void()>& arrive) {
+  const Pause pause(client.task);
+  arrive();
+  std::this_thread::sleep_for(kTime + milliseconds(200));
+}
+
 TransferResult EndOf(std::future<TransferResult>& result) {
   REQUIRE(result.wait_for(kPatience) == std::future_status::ready);
   return result.get();
@@ -215,4 +233,172 @@
   }
 }
 
+// Failure: a peer or the store that answered in time counts as silent.
+TEST_CASE("an answer that arrived in time while the client was behind") {
+  LoopbackListener listener;
+  LateClient client;
+  auto result = client.Start(listener);
+  Server server(listener);
+  REQUIRE(server.ReadRequest().starts_with("GET /k"));
+
+  SUBCASE("counts when it is whole") {
+    HoldPastDeadline(client, [&] { server.Answer("one"); });
+    const auto got = EndOf(result);
+    CHECK(got.end == TransferEnd::kComplete);
+    CHECK(got.answer.body == "one");
+  }
+  SUBCASE("counts when it takes many reads") {
+    const std::string body(48U << 10U, 'x');
+    HoldPastDeadline(client, [&] { server.Answer(body); });
+    const auto got = EndOf(result);
+    CHECK(got.end == TransferEnd::kComplete);
+    CHECK((got.answer.body == body));
+  }
+  SUBCASE("counts when it came on a connection used before") {
+    server.Answer("first");
+    REQUIRE(EndOf(result).end == TransferEnd::kComplete);
+    result = client.Start(listener);
+    REQUIRE(server.ReadRequest().starts_with("GET /k"));
+    HoldPastDeadline(client, [&] { server.Answer("second"); });
+    const auto got = EndOf(result);
+    CHECK(got.end == TransferEnd::kComplete);
+    CHECK(got.answer.body == "second");
+    CHECK(got.reused_connection);
+  }
+  SUBCASE("counts when the connection's end is that of the answer") {
+    HoldPastDeadline(client, [&] {
+      server.Send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall");
+      server.Close();
+    });
+    const auto got = EndOf(result);
+    CHECK(got.end == TransferEnd::kComplete);
+    CHECK(got.answer.body == "all");
+  }
+  SUBCASE("counts on one of two sockets, the other of which is silent") {
+    LoopbackListener other;
+    auto silent = client.Start(other);
+    const Server second(other);
+    REQUIRE(second.ReadRequest().starts_with("GET /k"));
+    HoldPastDeadline(client, [&] { server.Answer("one"); });
+    CHECK(EndOf(result).end == TransferEnd::kComplete);
+    CHECK(EndOf(silent).end == TransferEnd::kTimedOut);
+    CHECK(second.IsClosed());
+  }
+  SUBCASE("counts on both of two sockets") {
+    LoopbackListener other;
+    auto also = client.Start(other);
+    const Server second(other);
+    REQUIRE(second.ReadRequest().starts_with("GET /k"));
+    HoldPastDeadline(client, [&] {
+      second.Answer("two");
+      server.Answer("one");
+    });
+    CHECK(EndOf(result).end == TransferEnd::kComplete);
+    CHECK(EndOf(also).end == TransferEnd::kComplete);
+  }
+  SUBCASE("does not count when its end is missing") {
+    HoldPastDeadline(client, [&] {
+      server.Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
+    });
+    const auto got = EndOf(result);
+    CHECK(got.end == TransferEnd::kTimedOut);
+    CHECK(got.possibly_sent);
+    CHECK(server.IsClosed());
+  }
+}
+
+// Failure: a request is sent although its deadline is over, since its time
+// begins when the client gets to it.
+TEST_CASE("a request whose deadline is over before it can be sent") {
+  LoopbackListener listener(0);
+  LateClient client(1);
+  SUBCASE("is not sent when it is over at the start") {
+    auto result = client.Start(listener, -milliseconds(1));
+    const auto got = EndOf(result);
+    CHECK(got.end == TransferEnd::kNotSent);
+    CHECK(!got.possibly_sent);
+    std::this_thread::sleep_for(kUnwanted);
+    if (HasConnection(listener)) CHECK(Server(listener).ReadRequest().empty());
+  }
+  SUBCASE("is not sent on a connection that opened late") {
+    // The queue of new connections is full; the system tries again after 1 s.
+    const int filler = Connect(listener);
+    std::future<TransferResult> result;
+    {
+      const Pause pause(client.task, [&] {
+        result = client.StartHere(listener, milliseconds(800));
+      });
+      REQUIRE(Await([&] { return HasConnection(listener); }));
+      close(listener.Accept());
+      REQUIRE(Await([&] { return HasConnection(listener); }));
+    }
+    CHECK(EndOf(result).end == TransferEnd::kNotSent);
+    CHECK(Server(listener).ReadRequest().empty());
+    close(filler);
+  }
+  SUBCASE("is not sent when it waited for a connection") {
+    auto first = client.Start(listener, 2 * kPatience);
+    const Server server(listener);
+    REQUIRE(server.ReadRequest().starts_with("GET /k"));
+    auto second = client.Start(listener);
+    const auto got = EndOf(second);
+    CHECK(got.end == TransferEnd::kNotSent);
+    server.Answer("one");
+    CHECK(EndOf(first).end == TransferEnd::kComplete);
+    std::this_thread::sleep_for(kUnwanted);
+    CHECK(!HasConnection(listener));
+  }
+  SUBCASE("is not sent when the connection it waited for came free late") {
+    auto first = client.Start(listener, kPatience);
+    const Server server(listener);
+    REQUIRE(server.ReadRequest().starts_with("GET /k"));
+    auto second = client.Start(listener);
+    HoldPastDeadline(client, [&] { server.Answer("one"); });
+    CHECK(EndOf(first).end == TransferEnd::kComplete);
+    CHECK(EndOf(second).end == TransferEnd::kNotSent);
+    std::this_thread::sleep_for(kUnwanted);
+    CHECK(!server.HasArrived());
+  }
+}
+
+TEST_CASE("a server that does not answer") {
+  LoopbackListener listener;
+  LateClient client(1);
+  auto result = client.Start(listener);
+  const Server server(listener);
+  REQUIRE(server.ReadRequest().starts_with("GET /k"));
+
+  SUBCASE("is given up at the deadline") {
+    CHECK(EndOf(result).end == TransferEnd::kTimedOut);
+  }
+  SUBCASE("is given up when the client has caught up") {
+    HoldPastDeadline(client, [] {});
+    CHECK(EndOf(result).end == TransferEnd::kTimedOut);
+  }
+  SUBCASE("is given up at the earlier of two deadlines first") {
+    LoopbackListener other;
+    auto longer = client.Start(other, kPatience);
+    CHECK(EndOf(result).end == TransferEnd::kTimedOut);
+    CHECK(client.ends == 1);
+    const Server second(other);
+    REQUIRE(second.ReadRequest().starts_with("GET /k"));
+    second.Answer("two");
+    CHECK(EndOf(longer).end == TransferEnd::kComplete);
+  }
+  SUBCASE("cannot answer the next request with a late answer") {
+    CHECK(EndOf(result).end == TransferEnd::kTimedOut);
+    CHECK(server.IsClosed());
+    auto next = client.Start(listener, kPatience);
+    const Server second(listener);
+    REQUIRE(second.ReadRequest().starts_with("GET /k"));
+    second.Answer("next");
+    CHECK(EndOf(next).answer.body == "next");
+  }
+  // Each request has one end.
+  client.Do([] {});
+  const int ends = client.ends;
+  std::this_thread::sleep_for(kUnwanted);
+  CHECK(client.ends == ends);
+}
+
 }  // namespace chervilmux::net
