The next leader counts the grants of the leader before last

Wrong: when a leader is cut off from the store beside the owners that it still reaches, and its successor ends soon, the leader after that grants the keys of these owners on while they hold them: two servers hold the same keys and both take requests (OWNER).

Cause: a claim derives the latest time of inherited grants from the lease that it replaces. A successor that has started again, or has resigned, can grant nothing any more, so that only 5.25 s were counted; nothing in the store said that the leader before it might renew grants for up to 10.75 s. A leader that gives up and claims its own lease again forgot it likewise. Usually another server refuses the old leader, which then stops at once; not if it reaches only owners that its successors don't reach.

Ruled out, as read: a successor that is cut off or paused and has not ended. The longer time is then counted from its lease, which is later than the old leader's.

Change: a claim made while the earlier leader may run marks the table (earlier_leader_may_renew). A claim that reads the mark counts the longer time. The mark goes with one more write of the table, once each owner has taken a token of the new leader or its grant has run out. `unsettled` was weighed for this: it withholds all keys, also of owners that answer.

Cost to callers: only keys whose owner the new leader can't reach wait longer, up to 10.75 s in place of 5.25 s after two changes of leader; owners that answer keep theirs. Cost to the store: one write of the table more for each change of leader that was not in order. Builds before this ignore the mark and drop it when they lead.

In the simulation an instance that is cut off from the store no longer hears of changed server entries, and instances can be stopped in order.

--- a/src/ranges/range_grantor.cc
+++ b/src/ranges/range_grantor.cc
@@ -219,17 +219,23 @@
                         now, this->lease_seen_since +
                                  this->timing.renew_limit_without_store)));
   }
+  // A leader that still runs may renew grants without the store until this
+  // time.
+  const Instant latest_order_at =
+      this->EarlierLeaderMayRenew(rows)
+          ? std::max(now, this->lease_seen_since +
+                              this->timing.renew_limit_without_store)
+          : now;
+  return this->LatestExpiry(latest_order_at);
+}
+
+bool RangeGrantor::EarlierLeaderMayRenew(const GrantorRows& rows) const {
+  if (rows.table && rows.table->earlier_leader_may_renew) return true;
   const auto& holder = rows.lease.holder;
   const bool holder_ended =
       holder.empty() || holder == this->instance ||
       (this->has_ended && this->has_ended(holder, rows.lease.holder_life));
-  // A lease holder that still runs may renew grants without the store until
-  // this time.
-  const Instant latest_order_at =
-      holder_ended ? now
-                   : std::max(now, this->lease_seen_since +
-                                       this->timing.renew_limit_without_store);
-  return this->LatestExpiry(latest_order_at);
+  return !holder_ended;
 }
 
 void RangeGrantor::Claim(const GrantorRows& rows, Instant now) {
@@ -241,6 +247,7 @@
   next.last_fence = std::max(next.last_fence, LowestOfEra(this->era)) +
                     std::exchange(this->claim_fence_increment, 0);
   next.unsettled = this->MayMissGrants(rows);
+  next.earlier_leader_may_renew = this->EarlierLeaderMayRenew(rows);
   // The owners get new fencing tokens: once an owner has seen its new token, it
   // refuses renewals from the previous leader.
   for (auto& range : next.ranges) {
@@ -375,6 +382,8 @@
   }
   this->table.last_fence = done.write.table->last_fence;
   this->table.unsettled = done.write.table->unsettled;
+  this->table.earlier_leader_may_renew =
+      done.write.table->earlier_leader_may_renew;
   for (auto& state : this->range_states) {
     if (!state.is_committing) continue;
     const KeyRange committed_range = state.range_to_commit;
@@ -403,6 +412,8 @@
       state.expires_at = expires_at;
       state.outcome_unknown_until = kernel::kNever;
     }
+    state.earlier_leader_may_renew =
+        adopted.earlier_leader_may_renew && !range.owner.empty();
     this->range_states.push_back(std::move(state));
   }
 }
@@ -433,7 +444,11 @@
   }
   RangeTable committed_table = this->table;
   committed_table.unsettled = this->table.unsettled && !this->IsSettled();
-  bool changed = committed_table.unsettled != this->table.unsettled;
+  committed_table.earlier_leader_may_renew = std::ranges::any_of(
+      this->range_states, &RangeState::earlier_leader_may_renew);
+  bool changed = committed_table.unsettled != this->table.unsettled ||
+                 committed_table.earlier_leader_may_renew !=
+                     this->table.earlier_leader_may_renew;
   committed_table.ranges.clear();
   for (auto& state : this->range_states) {
     KeyRange range = state.range;
--- a/src/ranges/range_grantor.h
+++ b/src/ranges/range_grantor.h
@@ -13,6 +13,10 @@
 /// lease, before an order is sent. Fencing tokens come from the committed table
 /// and only increase.
 ///
+/// A leader that is cut off renews grants for a while. Its successor marks the
+/// table until each owner has taken a higher token, so that a leader after it
+/// waits for these grants too, although it reads the successor's lease only.
+///
 /// When the store returns from an older copy, commits are lost: each era has
 /// rows of its own, and grants that no row shows may run. Only the instance
 /// that led when they were lost knows its own. It commits its table in the new
@@ -274,6 +278,9 @@
     /// A leader whose commits the store has lost may have granted the range to
     /// another server. `expires_at` covers its grants.
     bool may_have_moved = false;
+    /// The owner has not refused an earlier leader yet by taking a higher
+    /// token, and `expires_at` covers the grants of that leader.
+    bool earlier_leader_may_renew = false;
     /// While `may_have_moved`: the token under which the owner is asked to
     /// renew; 0 once it has accepted.
     std::uint64_t earlier_fence = 0;
@@ -353,6 +360,8 @@
   /// Returns the latest time at which a grant of an earlier era can expire.
   kernel::Instant EarlierErasExpiry() const;
   bool IsSettled() const;
+  /// Whether another instance may still renew grants of the table in `rows`.
+  bool EarlierLeaderMayRenew(const GrantorRows& rows) const;
   bool IsLeaseValid(kernel::Instant now) const;
   bool MayRenewGrants(kernel::Instant now) const;
   /// Returns the latest time at which a grant of the leader in `rows`, or of an
--- a/src/ranges/range_grantor_orders.cc
+++ b/src/ranges/range_grantor_orders.cc
@@ -44,6 +44,7 @@
   state.phase = Phase::kFree;
   state.accepted_grant = false;
   state.may_have_moved = false;
+  state.earlier_leader_may_renew = false;
   // The next grant to this owner starts a new count of failures.
   ServerState* owner = this->FindServer(state.range.owner);
   if (owner != nullptr) owner->consecutive_failures = 0;
@@ -408,6 +409,7 @@
       }
       state.accepted_grant = true;
       state.may_have_moved = false;
+      state.earlier_leader_may_renew = false;
       state.awaits_first_grant = false;
       state.failed_orders = 0;
       state.range.handover.clear();
--- a/src/ranges/range_table.cc
+++ b/src/ranges/range_table.cc
@@ -212,6 +212,7 @@
   json["leader_life"] = Json::UInt64(table.leader_life);
   json["last_fence"] = Json::UInt64(table.last_fence);
   if (table.unsettled) json["unsettled"] = true;
+  if (table.earlier_leader_may_renew) json["earlier_leader_may_renew"] = true;
   json["ranges"] = RangesToJson(table.ranges);
   return kernel::PrintJson(json);
 }
@@ -222,6 +223,8 @@
   table.leader_life = kernel::UintOr(json, "leader_life");
   table.last_fence = kernel::UintOr(json, "last_fence");
   table.unsettled = json["unsettled"].isBool() && json["unsettled"].asBool();
+  const Json::Value& may_renew = json["earlier_leader_may_renew"];
+  table.earlier_leader_may_renew = may_renew.isBool() && may_renew.asBool();
   BOOST_OUTCOME_TRY(ranges, RangesFromJson(json["ranges"]));
   table.ranges = std::move(ranges);
   if (!CoverAllKeys(table.ranges)) {
--- a/src/ranges/range_table.h
+++ b/src/ranges/range_table.h
@@ -68,6 +68,8 @@
   /// Servers may hold keys under grants of an earlier era of the store that
   /// this table does not show.
   bool unsettled = false;
+  /// Another instance than `leader` may still renew grants of this table.
+  bool earlier_leader_may_renew = false;
   /// Ordered by key, without gaps.
   std::vector<KeyRange> ranges;
 
--- a/test/correctness/range_table_test.cc
+++ b/test/correctness/range_table_test.cc
@@ -110,6 +110,7 @@
     late.last_fence = LowestOfEra(kLastEra + 1) - 1;
     late.ranges[1].fence = late.last_fence;
     late.unsettled = true;
+    late.earlier_leader_may_renew = true;
     CHECK(EraOfTerm(late.term) == kLastEra);
     const auto decoded = DecodeTable(EncodeTable(late));
     REQUIRE(decoded);
--- a/test/scenario/range_world_impl.h
+++ b/test/scenario/range_world_impl.h
@@ -59,7 +59,8 @@
   kernel::Instant store_cut_until = kernel::kNever;
   std::map<unsigned, kernel::Instant> server_cut_until;
   std::unique_ptr<ranges::RangeGrantor> grantor;
-  ranges::RangeTable heard;  ///< The newest table that a leader published.
+  ranges::RangeTable heard;   ///< The newest table that a leader published.
+  bool list_changed = false;  ///< Since it was last told the list of servers.
 };
 
 /// Lease row and table row by the era in which they are written.
@@ -258,6 +259,15 @@
     instance.life += 1;
     this->Schedule(down, [this, index] { this->StartInstance(index); });
   }
+  void StopInstance(unsigned index, Duration down) {
+    constexpr Duration kResignTime = milliseconds(300);
+    Instance& instance = this->instances[index];
+    if (!instance.up) return;
+    instance.grantor->Resign();
+    this->Schedule(kResignTime, [this, index, down, life = instance.life] {
+      if (this->instances[index].life == life) this->KillInstance(index, down);
+    });
+  }
   void CrashServer(unsigned index, Duration down) {
     Server& server = this->servers[index];
     if (!server.up) return;
@@ -308,7 +318,10 @@
 
   // The lists of servers that instances receive.
 
+  /// An instance that is cut off from the store learns of changes afterwards.
   void UpdateServerList(Instance& instance) {
+    instance.list_changed = this->now < instance.store_cut_until;
+    if (instance.list_changed) return;
     instance.grantor->OnServerList(
         this->restored_list.value_or(this->ServerEntries()), this->now);
   }
@@ -349,6 +362,7 @@
 
   void TickInstance(unsigned index) {
     Instance& instance = this->instances[index];
+    if (instance.list_changed) this->UpdateServerList(instance);
     if (!this->load_per_tick.empty() && instance.grantor->Leads()) {
       instance.grantor->OnLoadReport(this->load_per_tick);
     }
