An instance that starts after a restore learns from peers what the copy lacks

Wrong: after the store has come back from an older copy, an instance that starts before the operator or a server has written again believes the copy. It answers 404 for routes that were confirmed, which its peers serve (CONFIG), and sends requests to servers that were leaving or gone (DRAIN).

Cause: instances pass on rows of the store only, which are ordered by era and version; what stays in force at each of them beside these rows was told to nobody.

Change: a sync request states the version of the configuration in force. A peer whose version is higher adds its text to the answer, unless the rows in this answer bring it: in effect only until the operator writes again. An answer also lists servers whose row in the copy is overruled by what the peer knows: id, life, number of the report, left or draining. It is empty but after a restore, and no longer than the rows. The asker takes an entry only if its own row is not later, and tells others in turn. For the first 3 s of its life an instance asks one more peer at random: a reader in the only failure domain asked nobody. Builds before this leave the fields out and ignore them: they get no configuration beside the rows, as before.

A whole start of all instances after a restore still believes the copy: nobody knows better.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -252,11 +252,17 @@
     this->bad_configuration_row = bad_row;
     return;
   }
-  const bool newer = !this->configuration ||
-                     decoded.value().version > this->configuration->version;
+  this->TakeConfiguration(std::move(decoded.value()), row.value);
+}
+
+void Node::TakeConfiguration(model::Configuration decoded,
+                             std::string_view text) {
+  const bool newer =
+      !this->configuration || decoded.version > this->configuration->version;
   if (!newer) return;
   this->configuration =
-      std::make_shared<const model::Configuration>(std::move(decoded.value()));
+      std::make_shared<const model::Configuration>(std::move(decoded));
+  this->configuration_text = text;
   observe::LogInfo(
       "configuration_in_force",
       {{"version", std::to_string(this->configuration->version)},
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -61,6 +61,8 @@
  private:
   void Tick();
   void OnConfiguration();
+  /// Puts `decoded`, read from `text`, in force if it is newer.
+  void TakeConfiguration(model::Configuration decoded, std::string_view text);
   void OnServerRows();
   void UseServers();
   void OnInstances();
@@ -79,6 +81,9 @@
   void OnPeerRequest(const net::RequestRef& ref,
                      const net::HttpRequest& request);
   SyncReply ReplyTo(const SyncRequest& request);
+  /// Adds what the store has lost and this instance knows.
+  void AddWhatTheStoreLost(const SyncRequest& request, SyncReply& reply) const;
+  void TakeWhatTheStoreLost(const SyncReply& reply);
   void Publish(const ranges::RangeDelta& change);
   void PassOn(const std::string& leader, const std::string& body,
               const std::string& sender);
@@ -125,6 +130,8 @@
   TableFollower ranges_table;
 
   std::shared_ptr<const model::Configuration> configuration;
+  /// The row's text of `configuration`, which the store may lose.
+  std::string configuration_text;
   replica::TableVersion bad_configuration_row;
   ServerList servers;
   /// Ids of the listed rows that name no server; each is logged once.
@@ -138,6 +145,7 @@
   /// The newest change of owners passed on, by service.
   std::map<std::string, ViewVersion, std::less<>> passed_on;
   kernel::Instant next_sync = kernel::kNever;
+  kernel::Instant started_at = kernel::Now();
   kernel::Instant next_register = kernel::kNever;
   bool registering = false;
   bool registered = false;
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -27,6 +27,9 @@
 constexpr Duration kUnreachableTime = milliseconds(3000);
 /// As much as one answer of the store may hold.
 constexpr std::size_t kMaxSyncBytes = 8U << 20U;
+/// An instance that has just started asks one more peer for this long: those
+/// that it would ask may know no more than the store does.
+constexpr Duration kNewcomerTime = milliseconds(3000);
 constexpr std::string_view kSyncPath = "/peer/sync";
 constexpr std::string_view kOwnersPath = "/peer/owners";
 
@@ -43,6 +46,11 @@
   for (auto& address : this->readers.Sources(now, this->random())) {
     targets.insert(std::move(address));
   }
+  if (now - this->started_at < kNewcomerTime && !instances.empty()) {
+    const auto pick =
+        static_cast<std::ptrdiff_t>(this->random() % instances.size());
+    targets.insert(std::next(instances.begin(), pick)->second.peer_address);
+  }
   targets.erase(this->self.peer_address);
   // While no other instance is known there are only the seeds of the settings:
   // the store may have fallen silent before the others had registered.
@@ -73,6 +81,8 @@
   for (const TableFollower* follower : this->Followers()) {
     request.table_versions[follower->Table()] = follower->Copy().AsOf();
   }
+  request.configuration_version =
+      this->configuration ? this->configuration->version : 0;
   for (const auto& [name, service] : this->key_services) {
     const auto& owners = service->Owners();
     request.view_versions[name] = {owners.term, owners.sequence};
@@ -135,6 +145,7 @@
     const auto changes = reply.tables.find(follower->Table());
     if (changes != reply.tables.end()) follower->ApplyFromPeer(changes->second);
   }
+  this->TakeWhatTheStoreLost(reply);
   for (const auto& view : reply.views) {
     const auto service = this->key_services.find(view.service);
     if (service == this->key_services.end()) continue;
@@ -148,6 +159,38 @@
   }
 }
 
+void Node::TakeWhatTheStoreLost(const SyncReply& reply) {
+  if (!reply.configuration.empty()) {
+    auto decoded = this->formats.DecodeConfiguration(reply.configuration);
+    if (decoded) {
+      this->TakeConfiguration(std::move(decoded.value()), reply.configuration);
+    } else {
+      observe::LogWarn("peer_configuration_invalid",
+                       {{"why", decoded.error().detail}});
+    }
+  }
+  if (!this->servers.LearnFromPeer(reply.departures, kernel::Now())) return;
+  observe::LogInfo("departures_from_peer",
+                   {{"count", std::to_string(reply.departures.size())}});
+  this->OnServerRows();
+}
+
+void Node::AddWhatTheStoreLost(const SyncRequest& request,
+                               SyncReply& reply) const {
+  reply.departures = this->servers.Departures();
+  const bool asker_is_behind =
+      this->configuration && request.configuration_version &&
+      *request.configuration_version < this->configuration->version;
+  if (!asker_is_behind) return;
+  const auto table =
+      reply.tables.find(std::string(this->formats.ConfigurationTable()));
+  const bool is_told =
+      table != reply.tables.end() &&
+      std::ranges::find(table->second.rows, this->configuration_text,
+                        &store::Row::value) != table->second.rows.end();
+  if (!is_told) reply.configuration = this->configuration_text;
+}
+
 SyncReply Node::ReplyTo(const SyncRequest& request) {
   SyncReply reply;
   const Instant now = kernel::Now();
@@ -167,6 +210,7 @@
     }
     changes.as_of = copy.AsOf();
   }
+  this->AddWhatTheStoreLost(request, reply);
   for (const auto& [name, service] : this->key_services) {
     if (service->Grantor().MayChangeOwners(now)) reply.leads.push_back(name);
     const auto load = request.key_load.find(name);
--- a/src/node/peer_message.cc
+++ b/src/node/peer_message.cc
@@ -64,6 +64,25 @@
                : std::pair<std::uint64_t, std::uint64_t>(0, 0);
 }
 
+Json::Value ToJson(const Departure& departure) {
+  Json::Value json(Json::arrayValue);
+  json.append(departure.id);
+  json.append(Json::UInt64(departure.life));
+  json.append(Json::UInt64(departure.report_number));
+  json.append(departure.left);
+  return json;
+}
+
+std::optional<Departure> DepartureFrom(const Json::Value& json) {
+  constexpr Json::ArrayIndex kFields = 4;
+  if (!json.isArray() || json.size() != kFields || !json[0].isString() ||
+      !json[1].isUInt64() || !json[2].isUInt64() || !json[3].isBool()) {
+    return std::nullopt;
+  }
+  return Departure{json[0].asString(), json[1].asUInt64(), json[2].asUInt64(),
+                   json[3].asBool()};
+}
+
 /// Milliseconds, or -1 for "unknown".
 std::int64_t MsFrom(const Json::Value& json) {
   constexpr std::int64_t kLongest = kernel::ToMs(kernel::kLongestDuration);
@@ -119,6 +138,10 @@
       load.append(PairToJson(count.bucket, count.requests));
     }
   }
+  if (request.configuration_version) {
+    json["configuration_version"] =
+        Json::UInt64(*request.configuration_version);
+  }
   return kernel::PrintJson(json);
 }
 
@@ -143,6 +166,9 @@
       request.view_versions[service] = PairFrom(views[service]);
     }
   }
+  if (json["configuration_version"].isUInt64()) {
+    request.configuration_version = json["configuration_version"].asUInt64();
+  }
   const Json::Value& load = json["key_load"];
   if (load.isObject()) {
     for (const auto& service : load.getMemberNames()) {
@@ -174,6 +200,10 @@
   for (const auto& view : reply.views) {
     json["views"].append(ranges::EncodeTable(view));
   }
+  if (!reply.configuration.empty()) json["configuration"] = reply.configuration;
+  for (const auto& departure : reply.departures) {
+    json["departures"].append(ToJson(departure));
+  }
   for (const auto& service : reply.leads) json["leads"].append(service);
   json["store_trouble_ms_ago"] = Json::Int64(reply.store_trouble_ms_ago);
   json["knowledge_age_ms"] = Json::Int64(reply.knowledge_age_ms);
@@ -203,6 +233,12 @@
     BOOST_OUTCOME_TRY(table, ranges::DecodeTable(view.asString()));
     reply.views.push_back(std::move(table));
   }
+  reply.configuration = kernel::StringOr(json, "configuration");
+  for (const auto& item : json["departures"]) {
+    if (auto departure = DepartureFrom(item)) {
+      reply.departures.push_back(std::move(*departure));
+    }
+  }
   for (const auto& service : json["leads"]) {
     if (service.isString()) reply.leads.push_back(service.asString());
   }
--- a/src/node/peer_message.h
+++ b/src/node/peer_message.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -17,6 +18,7 @@
 
 #include "kernel/error.h"
 #include "kernel/time.h"
+#include "node/server_list.h"
 #include "ranges/load_map.h"
 #include "ranges/range_table.h"
 #include "replica/row_replica.h"
@@ -47,6 +49,9 @@
   std::map<std::string, replica::TableVersion> table_versions;
   std::map<std::string, ViewVersion> view_versions;
   std::map<std::string, std::vector<ranges::BucketCount>> key_load;
+  /// Of the configuration in force, 0 if there is none; not told by older
+  /// builds.
+  std::optional<std::uint64_t> configuration_version;
 };
 
 struct TableChanges {
@@ -59,6 +64,10 @@
 struct SyncReply {
   std::map<std::string, TableChanges> tables;
   std::vector<ranges::RangeTable> views;
+  /// The text of the configuration in force when the asker's is older and
+  /// `tables` lack it, as they do after the store has come back from a copy.
+  std::string configuration;
+  std::vector<Departure> departures;
   std::vector<std::string> leads;  ///< Services whose owners it grants.
   /// How old the sender's knowledge of the store's tables may be; negative:
   /// unknown.
--- a/src/node/server_list.cc
+++ b/src/node/server_list.cc
@@ -48,14 +48,54 @@
   }
 }
 
+void ServerList::NoteDeparture(const Known& record,
+                               const model::BackendServer& row) {
+  const model::BackendServer& server = record.server;
+  const bool drains = server.draining && !row.draining;
+  if (!record.left && !drains) return;
+  this->departures.push_back(
+      {row.id, server.life, server.report_number, record.left});
+}
+
+bool ServerList::LearnFromPeer(std::span<const Departure> told, Instant now) {
+  bool any_news = false;
+  for (const auto& departure : told) {
+    const auto found = this->known.find(departure.id);
+    if (found == this->known.end() || found->second.left ||
+        !this->listed.contains(departure.id)) {
+      continue;
+    }
+    Known& record = found->second;
+    const std::pair as_of(departure.life, departure.report_number);
+    if (ReportOrder(record.server) > as_of) continue;
+    // The life that is listed here has ended when a later one is known.
+    const bool left = departure.left || record.server.life != departure.life;
+    if (!left && record.server.draining) continue;
+    record.may_be_old = true;
+    record.left = left;
+    if (record.server.life == departure.life)
+      record.server.report_number = departure.report_number;
+    record.server.draining = true;
+    any_news = true;
+    const auto used = this->in_use.find(departure.id);
+    if (!left || used == this->in_use.end()) continue;
+    // It was seen to leave: no outage explains that it is missing.
+    used->second.draining = true;
+    this->missing.insert_or_assign(departure.id, Missing{now, now});
+  }
+  return any_news;
+}
+
 ServersById ServerList::WithoutOldReports(const ServersById& rows,
                                           Instant now) {
   ServersById current;
+  this->departures.clear();
   for (const auto& [id, row] : rows) {
     const auto [entry, is_new] = this->known.try_emplace(id);
     Known& record = entry->second;
     const bool later = is_new || !record.may_be_old ||
                        ReportOrder(row) > ReportOrder(record.server);
+    if (!later) this->NoteDeparture(record, row);
     if (later) {
       record = {row, now};
     } else if (record.left) {
--- a/src/node/server_list.h
+++ b/src/node/server_list.h
@@ -13,7 +13,10 @@
 #ifndef CHERVILMUX_NODE_SERVER_LIST_H_
 #define CHERVILMUX_NODE_SERVER_LIST_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -24,6 +27,16 @@
 
 using ServersById = std::map<std::string, model::BackendServer, std::less<>>;
 
+/// A server that, as of a report of it or later, has left or drains, although
+/// its row, which is of an older copy of the store, does not say so.
+struct Departure {
+  std::string id;
+  std::uint64_t life = 0;
+  std::uint64_t report_number = 0;
+  bool left = false;  ///< Otherwise it drains.
+  bool operator==(const Departure&) const = default;
+};
+
 class ServerList {
  public:
   /// Takes in the rows as they are now. The rows before are known to have been
@@ -38,6 +51,13 @@
   /// brings: they may lack what servers have reported since.
   void NoteRestored();
 
+  /// What is known here that the rows of the last Update() lack.
+  const std::vector<Departure>& Departures() const { return this->departures; }
+
+  /// Takes in what a peer knows of the servers that are listed here. Returns
+  /// whether that is news; then Update() has to follow with the same rows.
+  bool LearnFromPeer(std::span<const Departure> told, kernel::Instant now);
+
   /// The servers in use. Returns whether they changed since the last call.
   bool Refresh(kernel::Instant now);
   /// Servers that are remembered, in use or not.
@@ -64,6 +84,7 @@
     bool left = false;
   };
 
+  void NoteDeparture(const Known& record, const model::BackendServer& row);
   ServersById WithoutOldReports(const ServersById& rows, kernel::Instant now);
   void ForgetOldest();
   bool LooksLikeOutage() const;
@@ -74,6 +95,7 @@
   std::map<std::string, Missing, std::less<>> missing;
   std::map<std::string, Known, std::less<>> known;
   ServersById in_use;
+  std::vector<Departure> departures;
   kernel::Instant trouble_at = kernel::kNever;
   bool rows_changed = false;  ///< Since the last Refresh().
   bool restored = false;      ///< Since the last Update().
--- a/test/correctness/replica_test.cc
+++ b/test/correctness/replica_test.cc
@@ -240,6 +240,38 @@
     CHECK(decoded_reply.value().leads == reply.leads);
     CHECK(decoded_reply.value().knowledge_age_ms == 40);
   }
+  SUBCASE("a request tells the version of the configuration in force") {
+    request.configuration_version = 12;
+    const auto told = node::DecodeSync(node::EncodeSync(request));
+    REQUIRE(told);
+    CHECK(told.value().configuration_version == 12U);
+  }
+  SUBCASE("a reply tells the configuration in force and who has left") {
+    node::SyncReply reply;
+    reply.configuration = "{\"version\":12}";
+    reply.departures = {{"a", 1000, 7, true}, {"b", 1001, 8, false}};
+    const auto told = node::DecodeSyncReply(node::EncodeSyncReply(reply));
+    REQUIRE(told);
+    CHECK(told.value().configuration == reply.configuration);
+    CHECK(told.value().departures == reply.departures);
+  }
+  SUBCASE("builds that tell neither are understood") {
+    CHECK_FALSE(decoded.value().configuration_version);
+    const auto older = node::DecodeSyncReply(R"({"knowledge_age_ms":4})");
+    REQUIRE(older);
+    CHECK(older.value().configuration.empty());
+    CHECK(older.value().departures.empty());
+  }
+  SUBCASE("departures that can't be read are left out") {
+    const auto odd = node::DecodeSyncReply(
+        R"({"configuration":7,"departures":[[],7,["a",-1,2,true],["b",1,2,0],)"
+        R"(["c",1,2,true]]})");
+    REQUIRE(odd);
+    CHECK(odd.value().configuration.empty());
+    CHECK(odd.value().departures ==
+          std::vector<node::Departure>{{"c", 1, 2, true}});
+    CHECK(node::DecodeSyncReply(R"({"departures":{"a":1}})"));
+  }
   SUBCASE("messages of builds that know no eras belong to era 0") {
     const auto older = node::DecodeSync(
         R"({"sender":{"name":"x","peer_address":"a:1"},"tables":{"servers":12}})");
--- a/test/correctness/server_list_test.cc
+++ b/test/correctness/server_list_test.cc
@@ -32,6 +32,13 @@
 /// A server list whose rows the test writes, restores and reads.
 class Listing {
  public:
+  /// Takes in what an instance that reads the same rows knows better.
+  void Hear(const Listing& peer) {
+    if (!this->list.LearnFromPeer(peer.list.Departures(), this->now)) return;
+    this->list.Update(this->rows, this->now, this->now);
+    this->list.Refresh(this->now);
+  }
+  std::size_t DepartureCount() const { return this->list.Departures().size(); }
   void Write(const model::BackendServer& server) {
     this->rows[server.id] = server;
   }
@@ -63,6 +70,83 @@
 
 }  // namespace
 
+// Failure: an instance that starts after a restore believes the copy.
+TEST_CASE("an instance that starts after a restore learns who has left") {
+  Listing peer;
+  for (const char* id : {"a", "b", "c", "d", "e"}) {
+    peer.Write(MakeServer(id, 5));
+  }
+  peer.Pass(seconds(1));
+  const ServersById copy = peer.rows;
+  peer.Write(MakeServer("a", 7, kLife, true));
+  peer.Remove("b");
+  peer.Write(MakeServer("c", 1, kLife + 1, true));
+  peer.Write(MakeServer("d", 5, kLife, true));
+  peer.Pass(seconds(3));
+  CHECK(peer.DepartureCount() == 0);
+  peer.Restore(copy);
+  peer.Pass(seconds(1));
+  CHECK(peer.DepartureCount() == 4);
+
+  Listing started;
+  started.rows = copy;
+  started.Pass(seconds(1));
+  REQUIRE_FALSE(started.Used("a").draining);
+  started.Hear(peer);
+  CHECK(started.Used("a").draining);
+  CHECK_FALSE(started.Uses("b"));
+  // Its life in the copy has ended.
+  CHECK_FALSE(started.Uses("c"));
+  CHECK(started.Used("d").draining);
+  CHECK_FALSE(started.Used("e").draining);
+
+  THEN("it tells others in turn") {
+    Listing next;
+    next.rows = copy;
+    next.Pass(seconds(1));
+    next.Hear(started);
+    CHECK(next.Used("a").draining);
+    CHECK_FALSE(next.Uses("b"));
+    CHECK_FALSE(next.Uses("c"));
+    CHECK(next.Used("d").draining);
+  }
+  THEN("it takes none of them away from who knows a later life") {
+    peer.Hear(started);
+    CHECK(peer.Used("a").draining);
+    CHECK(peer.Used("c").life == kLife + 1);
+  }
+  THEN("it stays so as other rows change") {
+    started.Write(MakeServer("e", 8));
+    started.Pass(seconds(10));
+    CHECK(started.Used("a").draining);
+    CHECK_FALSE(started.Uses("b"));
+    CHECK_FALSE(started.Uses("c"));
+  }
+  THEN("later reports count") {
+    for (Listing* listing : {&peer, &started}) {
+      listing->Write(MakeServer("a", 8));
+      listing->Write(MakeServer("b", 6));
+      listing->Write(MakeServer("c", 2, kLife + 1));
+      listing->Remove("d");
+      listing->Pass(seconds(3));
+    }
+    CHECK(peer.DepartureCount() == 0);
+    CHECK(started.DepartureCount() == 0);
+    CHECK_FALSE(started.Used("a").draining);
+    CHECK(started.Uses("b"));
+    CHECK(started.Used("c").life == kLife + 1);
+    CHECK_FALSE(started.Uses("d"));
+  }
+  THEN("a peer that has not read them yet changes nothing") {
+    started.Write(MakeServer("a", 8));
+    started.Write(MakeServer("b", 6));
+    started.Pass(seconds(1));
+    started.Hear(peer);
+    CHECK_FALSE(started.Used("a").draining);
+    CHECK(started.Uses("b"));
+  }
+}
+
 TEST_CASE("servers are used by what was last known after a restore") {
   Listing store;
   for (const char* id : {"a", "b", "c", "d", "e"}) {
--- a/test/error/odd_entries_test.cc
+++ b/test/error/odd_entries_test.cc
@@ -241,10 +241,13 @@
   request.table_versions["t"] = {1, 4};
   request.view_versions["s"] = {1, 2};
   request.key_load["s"] = {{3, 4}};
+  request.configuration_version = 2;
   node::SyncReply reply;
   reply.tables["t"].rows.resize(1);
   reply.views = {table};
   reply.leads = {"s"};
+  reply.configuration = "{}";
+  reply.departures = {{"a", 1, 2, true}};
   ownership::CellRow row;
   row.servers.resize(1);
   row.servers[0].name = "s";
--- a/test/processes/platform_test.py
+++ b/test/processes/platform_test.py
@@ -655,6 +655,46 @@
         self.nodes[1].start()
         self.served_by_all("/heard/x")
 
+    def restart_after_restore(self, node, copy):
+        self.store.restore(copy)
+        for known in self.nodes:
+            eventually(lambda n=known: {"op", "servers"} <= {
+                line["table"] for line in n.log()
+                if line["event"] == "store_restored"}, "the copy was read")
+        node.stop(signal.SIGKILL)
+        node.start()
+        eventually(node.ready, "it is ready")
+
+    def takes_what_is_in_force(self, node):
+        copy = self.store.copy()
+        self.configure(10, "/lost/")
+        self.served_by_all("/lost/x")
+        self.restart_after_restore(node, copy)
+        self.served_by_all("/lost/x")
+
+    def test_the_first_instance_takes_what_is_in_force_as_it_starts_anew(self):
+        self.takes_what_is_in_force(self.nodes[0])
+
+    def test_the_second_instance_takes_what_is_in_force_as_it_starts_anew(self):
+        self.takes_what_is_in_force(self.nodes[1])
+
+    def test_an_instance_that_starts_anew_leaves_alone_who_had_left(self):
+        copy = self.store.copy()
+        self.plain[0].register("draining")
+        self.plain[1].leave()
+        time.sleep(2)
+        self.restart_after_restore(self.nodes[1], copy)
+        time.sleep(1.5)
+        before = [len(server.ran) for server in self.plain[:2]]
+        until = time.monotonic() + 2
+        while time.monotonic() < until:
+            self.assertEqual(self.nodes[1].call()[0], 200)
+            time.sleep(0.02)
+        self.assertEqual([len(server.ran) for server in self.plain[:2]], before)
+        self.plain[1].register()
+        eventually(lambda: self.nodes[1].call() and
+                   len(self.plain[1].ran) > before[1], "it has come back")
+
     def test_servers_that_left_before_the_restore_get_nothing(self):
         copy = self.store.copy()
         self.plain[0].register("draining")
