The leader removes rows of owners of eras before the last

Wrong: each era of the store left a row of the lease and one of the owners per service for good. Each listing at a take-over reads them all.

Cause: rows belong to one era and nothing removed them; a transaction of ours had no deletes.

Change: once the first table of an era without open grants of earlier eras is committed, the leader lists both tables and removes the rows of eras that are at least two older, on condition of the versions listed, in a transaction of its own: a conflict there costs no write of the lease. The era before stays: a copy of the store that lacks the rows of an era has those of the one before it. What can't be removed waits for the next leader or era. A late write of the oldest era could bring its row back; newer terms win over it. In the first era nothing is listed.

Cost: three calls more per era and service.

--- a/src/node/key_service.cc
+++ b/src/node/key_service.cc
@@ -1,6 +1,9 @@
 #include "node/key_service.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <memory>
+#include <span>
 #include <utility>
 
 #include "observe/log.h"
@@ -209,7 +212,9 @@
                       {"last_fence", std::to_string(write.table->last_fence)}});
   }
   this->store.Commit(
-      transaction, [this, id = write.id](const store::CommitReply& reply) {
+      transaction, [this, id = write.id, era = write.era,
+                    is_settled = write.table && !write.table->unsettled](
+                       const store::CommitReply& reply) {
         if (reply.status != store::StoreStatus::kDone) {
           observe::LogWarn(
               "owners_write_failed",
@@ -218,9 +223,64 @@
         }
         this->grantor.OnWriteReply({id, reply.status, reply.version, reply.era},
                                    kernel::Now());
+        if (reply.status == store::StoreStatus::kDone && is_settled)
+          this->RemoveOldRows(era);
       });
 }
 
+bool KeyService::IsOldTable(const store::Row& row, std::uint64_t era) const {
+  const auto table = ranges::DecodeTable(row.value);
+  if (!table || table.value().service != this->name) return false;
+  const std::uint64_t row_era = ranges::EraOfTerm(table.value().term);
+  return row.key == RowKey(this->name, row_era) && row_era + 2 <= era;
+}
+
+void KeyService::RemoveOldRows(std::uint64_t era) {
+  constexpr std::uint64_t kFirstWithOlder = 2;
+  if (era < kFirstWithOlder || era == this->cleaned_era) return;
+  this->cleaned_era = era;
+  this->store.List(kRangesTable, [this, era](store::RowsReply tables) {
+    if (tables.status != store::StoreStatus::kDone || tables.era != era) return;
+    std::erase_if(tables.rows, [this, era](const store::Row& row) {
+      return !this->IsOldTable(row, era);
+    });
+    if (tables.rows.empty()) return;
+    this->store.List(kLeasesTable,
+                     [this, tables](const store::RowsReply& leases) {
+                       this->RemoveOldRows(tables, leases);
+                     });
+  });
+}
+
+void KeyService::RemoveOldRows(const store::RowsReply& tables,
+                               const store::RowsReply& leases) {
+  // Each takes two entries for its table and two for its lease; the store takes
+  // 100 in a call.
+  constexpr std::size_t kMostAtOnce = 20;
+  if (leases.status != store::StoreStatus::kDone || leases.era != tables.era)
+    return;
+  store::Transaction transaction;
+  for (const auto& table :
+       std::span(tables.rows)
+           .first(std::min(tables.rows.size(), kMostAtOnce))) {
+    store::Row lease = FindRow(leases, table.key);
+    transaction.deletes.push_back(
+        MakeRow(kRangesTable, table.key, "", table.version));
+    if (lease.version == 0) continue;
+    transaction.deletes.push_back(
+        MakeRow(kLeasesTable, table.key, "", lease.version));
+  }
+  transaction.expected = transaction.deletes;
+  this->store.Commit(transaction, [this, count = transaction.deletes.size()](
+                                      const store::CommitReply& reply) {
+    observe::LogInfo(
+        "owners_of_earlier_eras_removed",
+        {{"service", this->name},
+         {"rows", std::to_string(count)},
+         {"status", std::to_string(static_cast<int>(reply.status))}});
+  });
+}
+
 void KeyService::Read() {
   // The lease first: a table that is newer than it only makes a claim fail.
   this->store.List(kLeasesTable, [this](const store::RowsReply& leases) {
--- a/src/node/key_service.h
+++ b/src/node/key_service.h
@@ -62,6 +62,14 @@
  private:
   void SendOrder(const ranges::RangeOrder& order);
   void Write(const ranges::GrantorActions::Write& write);
+  /// Removes the rows of eras that are at least two older than `era`, once for
+  /// each era. Call when no grant of an earlier era is open any more.
+  void RemoveOldRows(std::uint64_t era);
+  void RemoveOldRows(const store::RowsReply& tables,
+                     const store::RowsReply& leases);
+  /// Whether `row` holds owners of this service in an era that is at least two
+  /// older than `era`.
+  bool IsOldTable(const store::Row& row, std::uint64_t era) const;
   void Read();
   void OnRead(const store::RowsReply& leases, const store::RowsReply& tables);
   /// The newest table of an era before `era` that the store holds or that was
@@ -83,6 +91,7 @@
   ranges::RangeTable owners;
   bool led = false;
   std::uint64_t logged_era = 0;
+  std::uint64_t cleaned_era = 0;  ///< The last for which old rows were removed.
 };
 
 }  // namespace chervilmux::node
--- a/src/store/metadata_store.h
+++ b/src/store/metadata_store.h
@@ -45,10 +45,11 @@
 };
 
 /// All rows of `expected` must have the versions given; then all of `writes`
-/// take effect at once.
+/// and `deletes` take effect at once.
 struct Transaction {
   std::vector<Row> expected;
   std::vector<Row> writes;
+  std::vector<Row> deletes;  ///< Without values; each row exists.
 };
 
 struct CommitReply {
--- a/test/correctness/platform_wire_test.cc
+++ b/test/correctness/platform_wire_test.cc
@@ -1,5 +1,6 @@
-// Guards the reading of what servers state in their answers. Failures: a server
-// that leaves is not understood, or a garbled value takes a server out of use.
+// Guards what the platform's servers state in their answers and what its store
+// is told. Failures: a server that leaves is not understood, a garbled value
+// takes a server out of use, or the store does not do what it was told.
 
 #include "platform_wire.h"
 
@@ -8,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "store_client.h"
+
 namespace chervilmux::platform {
 namespace {
 
@@ -115,4 +118,20 @@
   }
 }
 
+// Failure: a row that is to be removed stays, or the store refuses the call for
+// a field that it doesn't know.
+TEST_CASE("a transaction names the rows that it removes") {
+  store::Row row;
+  row.table = "t";
+  row.key = "k";
+  row.version = 7;
+  store::Transaction transaction;
+  transaction.expected = {row};
+  transaction.deletes = {row};
+  CHECK(EncodeTransaction(transaction) ==
+        R"({"deletes":[{"key":"k","part":"","table":"t"}],)"
+        R"("expected":[{"key":"k","part":"","table":"t","ver":7}],)"
+        R"("writes":[]})");
+}
+
 }  // namespace chervilmux::platform
--- a/test/fakes/prepared_platform.py
+++ b/test/fakes/prepared_platform.py
@@ -195,6 +195,13 @@
                     return handler.answer(403)
                 self._write(row["table"], row["key"],
                             base64.b64decode(row["value"], validate=True))
+            for row in call["deletes"]:
+                if set(row) != {"table", "part", "key"}:
+                    return handler.answer(400)
+                if self.rows.pop((row["table"], row["key"]), None):
+                    self.changes.append(
+                        (self.version, row["table"], row["key"], None))
+                    self.lock.notify_all()
             lost = self.lose_answers > 0
             self.lose_answers -= 1 if lost else 0
         if lost:
--- a/test/processes/platform_test.py
+++ b/test/processes/platform_test.py
@@ -521,6 +521,22 @@
                     if 'chervilmux_leads_owners{service="keyed"} 1'
                     in n.get("/metrics"))
 
+    def test_rows_of_eras_before_the_last_are_removed(self):
+        def eras(table):
+            with self.store.lock:
+                return {key for name, key in self.store.rows
+                        if name == "chervilmux-" + table}
+        self.owned()
+        self.watch()
+        for era in range(2, 6):
+            self.restore(self.store.copy())
+            kept = {"keyed#%d" % (era - 1), "keyed#%d" % era}
+            for table in ("ranges", "leases"):
+                eventually(lambda t=table, wanted=kept: eras(t) == wanted,
+                           "%s of two eras are left" % table)
+        self.owned()
+        self.check_tokens()
+
     def test_the_leader_goes_on_with_the_owners_that_it_knows(self):
         copy = self.move_and_copy()
         holders = [s for s in self.keyed if s.holds]
