A leader that may have resigned renews no grants

Wrong: an instance that stops gives up its lease; where the answer to that write is lost and the instance is then cut off beside an owner that it reaches, it renews that owner's grants for up to 5.5 s, while its successor, which found no leader, counts only grants up to its claim. Two servers hold the same keys (OWNER).

Cause: until it hears that the write was done, the instance takes itself for the leader.

Change: while a write that gives up the lease is on its way, or one was not answered, no order is sent.

Cost to callers: none where the write is answered; else keys whose grants run out before a successor leads, 5 s later at the earliest.

--- a/src/ranges/range_grantor.cc
+++ b/src/ranges/range_grantor.cc
@@ -81,6 +81,13 @@
          now - this->lease_written_at < this->timing.renew_limit_without_store;
 }
 
+bool RangeGrantor::MayHaveResigned() const {
+  return this->pending_write &&
+         this->pending_write->write.lease.holder.empty() &&
+         (this->pending_write->in_flight ||
+          this->pending_write->was_unanswered);
+}
+
 RangeGrantor::ServerState* RangeGrantor::FindServer(std::string_view id) {
   const auto found = this->servers.find(id);
   return found == this->servers.end() ? nullptr : &found->second;
@@ -424,7 +431,9 @@
   if (this->IsLeaseValid(now) && !this->is_resigning) this->PlanMoves(now);
   this->PrepareWrite(now);
   this->EmitWrite(now, actions);
-  if (this->MayRenewGrants(now)) this->SendOrders(now, actions);
+  // Who follows after a resignation counts no later grants.
+  if (this->MayRenewGrants(now) && !this->MayHaveResigned())
+    this->SendOrders(now, actions);
   this->RefreshPublishedTable(now, actions);
 }
 
--- a/src/ranges/range_grantor.h
+++ b/src/ranges/range_grantor.h
@@ -364,6 +364,8 @@
   bool EarlierLeaderMayRenew(const GrantorRows& rows) const;
   bool IsLeaseValid(kernel::Instant now) const;
   bool MayRenewGrants(kernel::Instant now) const;
+  /// Whether the store may name no leader at the wish of this one.
+  bool MayHaveResigned() const;
   /// Returns the latest time at which a grant of the leader in `rows`, or of an
   /// earlier one, can expire.
   kernel::Instant InheritedExpiry(const GrantorRows& rows,
--- a/test/scenario/leader_changes_test.cc
+++ b/test/scenario/leader_changes_test.cc
@@ -26,6 +26,8 @@
 constexpr Duration kCutLength = seconds(14);
 /// The store drops the entry of a server that it has not heard for this long.
 constexpr Duration kEntryExpires = milliseconds(1500);
+/// A stop that has nothing to wait for.
+constexpr Duration kStopTime = milliseconds(300);
 constexpr Duration kLookPeriod = milliseconds(20);
 constexpr unsigned kInstances = 3;
 constexpr unsigned kServers = 5;
@@ -49,9 +51,8 @@
     this->simulation.SetRandomLoad(200);
   }
 
-  /// Divides the leader and `server` from the store and all other instances, as
-  /// a cut through the network would, and calls `lose` with each of the next
-  /// `successors` leaders, `after` it has taken over.
+  /// Divides the leader and `server` from the rest and calls `lose` with each
+  /// of the next `successors` leaders, `after` it has taken over.
   void Schedule(unsigned server, unsigned successors, Duration after,
                 std::function<void(unsigned)> lose) {
     this->left = successors;
@@ -60,22 +61,28 @@
     this->simulation.Schedule(kCutAt, [this, server] {
       const unsigned leader = this->simulation.Leader().value_or(0);
       this->first_leader = leader;
-      this->simulation.CutStoreLink(leader, kCutLength);
-      for (unsigned i = 0; i < kInstances; ++i) {
-        for (unsigned other = 0; other < kServers; ++other) {
-          if ((i == leader) != (other == server))
-            this->simulation.CutServerLink(i, other, kCutLength);
-        }
-      }
-      this->simulation.Schedule(kEntryExpires, [this, server] {
-        this->simulation.UnlistServer(server);
-      });
-      this->simulation.Schedule(
-          kCutLength, [this, server] { this->simulation.ListServer(server); });
+      this->Divide(leader, server);
       this->Look();
     });
   }
 
+  /// Divides `leader` and `server` from the store and all others, as a cut
+  /// through the network would.
+  void Divide(unsigned leader, unsigned server) {
+    this->simulation.CutStoreLink(leader, kCutLength);
+    for (unsigned i = 0; i < kInstances; ++i) {
+      for (unsigned other = 0; other < kServers; ++other) {
+        if ((i == leader) != (other == server))
+          this->simulation.CutServerLink(i, other, kCutLength);
+      }
+    }
+    this->simulation.Schedule(kEntryExpires, [this, server] {
+      this->simulation.UnlistServer(server);
+    });
+    this->simulation.Schedule(
+        kCutLength, [this, server] { this->simulation.ListServer(server); });
+  }
+
   RangeSimulation& Simulation() { return this->simulation; }
   unsigned Lost() const { return this->lost; }
 
@@ -126,7 +133,7 @@
       if (loss == Loss::kKilled)
         simulation.KillInstance(leader, milliseconds(300));
       else
-        simulation.StopInstance(leader, milliseconds(300));
+        simulation.StopInstance(leader, kStopTime, milliseconds(300));
     });
     const auto result = simulation.Run();
     INFO(JoinLines(result.violations));
@@ -151,6 +158,31 @@
   }
 }
 
+// Failure: a leader that has resigned without hearing of it renews grants,
+// while its successor counts only those before.
+TEST_CASE("a leader that may have resigned renews no grants") {
+  constexpr std::uint64_t kSeeds = 100;
+  constexpr Duration kGrace = seconds(6);
+  // The first write after the resignation is on its way.
+  constexpr Duration kDividedAt = kCutAt + milliseconds(30);
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    RangeSimulationOptions options = WithoutRandomFaults(seed);
+    options.length = seconds(25);
+    LeaderChanges changes(options);
+    RangeSimulation& simulation = changes.Simulation();
+    unsigned leader = 0;
+    simulation.Schedule(kCutAt, [&] {
+      leader = simulation.Leader().value_or(0);
+      simulation.StopInstance(leader, kGrace, milliseconds(300));
+    });
+    simulation.Schedule(kDividedAt, [&] { changes.Divide(leader, 1); });
+    const auto result = simulation.Run();
+    INFO(JoinLines(result.violations));
+    CHECK(result.violations.empty());
+  }
+}
+
 // Failure: some history of quick leader changes, with other faults beside,
 // gives a key to a server while another one holds it.
 TEST_CASE("no key has two holders in any history of quick leader changes") {
@@ -174,7 +206,7 @@
                            simulation.KillInstance(leader, down);
                            return;
                          case 2:
-                           simulation.StopInstance(leader, down);
+                           simulation.StopInstance(leader, kStopTime, down);
                            return;
                          case 3:
                            simulation.CutStoreLink(leader, after + down);
--- a/test/scenario/range_world.cc
+++ b/test/scenario/range_world.cc
@@ -34,8 +34,9 @@
 void RangeSimulation::KillInstance(unsigned instance, Duration down) {
   this->impl->KillInstance(instance, down);
 }
-void RangeSimulation::StopInstance(unsigned instance, Duration down) {
-  this->impl->StopInstance(instance, down);
+void RangeSimulation::StopInstance(unsigned instance, Duration grace,
+                                   Duration down) {
+  this->impl->StopInstance(instance, grace, down);
 }
 void RangeSimulation::PauseInstance(unsigned instance, Duration length) {
   this->impl->instances[instance].paused_until = this->impl->now + length;
--- a/test/scenario/range_world.h
+++ b/test/scenario/range_world.h
@@ -76,8 +76,9 @@
   /// The store returns from a copy of itself that is `age` old.
   void RestoreStore(kernel::Duration age);
   void KillInstance(unsigned instance, kernel::Duration down);
-  /// Stops the instance in order: it resigns and ends shortly afterwards.
-  void StopInstance(unsigned instance, kernel::Duration down);
+  /// Stops the instance in order: it resigns and ends when `grace` is over.
+  void StopInstance(unsigned instance, kernel::Duration grace,
+                    kernel::Duration down);
   void PauseInstance(unsigned instance, kernel::Duration length);
   void CrashServer(unsigned server, kernel::Duration down);
   void DrainServer(unsigned server);
--- a/test/scenario/range_world_impl.h
+++ b/test/scenario/range_world_impl.h
@@ -259,12 +259,11 @@
     instance.life += 1;
     this->Schedule(down, [this, index] { this->StartInstance(index); });
   }
-  void StopInstance(unsigned index, Duration down) {
-    constexpr Duration kResignTime = milliseconds(300);
+  void StopInstance(unsigned index, Duration grace, Duration down) {
     Instance& instance = this->instances[index];
     if (!instance.up) return;
     instance.grantor->Resign();
-    this->Schedule(kResignTime, [this, index, down, life = instance.life] {
+    this->Schedule(grace, [this, index, down, life = instance.life] {
       if (this->instances[index].life == life) this->KillInstance(index, down);
     });
   }
