A leader that is silent is not asked without pause when a message is full

Wrong: an urgent notice of one service stayed due while notices of another service with the same leader filled the message. If that leader did not answer, a sync went to it as soon as the one before had failed, up to 100 a second, instead of one every 0.5 s. Cause: NoticeOutbox::Untold() returned before it took note of the attempt when the message had no room. Change: the attempt counts in any case; what had no room goes with the next regular sync. Failed before: the new section of "a leader that does not answer is not asked without pause" (1 of 5 checks).

--- a/src/node/notice_outbox.cc
+++ b/src/node/notice_outbox.cc
@@ -34,13 +34,13 @@
     this->receiver = leader;
     for (auto& [key, entry] : this->entries) entry.told = false;
   }
+  // What has no room waits for the next regular sync.
+  this->is_due = false;
   NoticeBatch batch{leader, {}};
-  if (count == 0) return batch;
   for (const auto& [key, entry] : this->entries) {
     if (batch.notices.size() == count) break;
     if (entry.listed && !entry.told) batch.notices.push_back(entry.notice);
   }
-  this->is_due = false;
   return batch;
 }
 
--- a/test/correctness/notice_outbox_test.cc
+++ b/test/correctness/notice_outbox_test.cc
@@ -140,6 +140,13 @@
   CHECK(outbox.IsDue());
   outbox.Untold(kLeader, kMaxNoticesPerSync, kNow);
   CHECK_FALSE(outbox.IsDue());
+  SUBCASE("nor for a service for which the message had no room") {
+    NoticeOutbox other;
+    other.Add(Draining("a"), true);
+    CHECK(other.Untold(kLeader, 0, kNow).notices.empty());
+    CHECK_FALSE(other.IsDue());
+    CHECK(Ids(other.Untold(kLeader, kMaxNoticesPerSync, kNow)) == Strings{"a"});
+  }
 }
 
 // Failure: the size of a message grows with the number of servers that leave.
