--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -1,6 +1,7 @@
 // Node: what instances tell each other.
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "net/compression.h"
@@ -33,6 +34,28 @@
 constexpr std::string_view kSyncPath = "/peer/sync";
 constexpr std::string_view kOwnersPath = "/peer/owners";
 
+NoticeToLeader ForMessage(const policy::ServerNotice& notice, Instant now) {
+  NoticeToLeader message{notice.server, kernel::ToMs(now - notice.received_at),
+                         std::nullopt};
+  if (notice.kind == policy::NoticeKind::kBackOff) {
+    message.back_off_ms =
+        kernel::ToMs(std::max(Duration(0), notice.until - now));
+  }
+  return message;
+}
+
+policy::ServerNotice FromMessage(const NoticeToLeader& message, Instant now) {
+  policy::ServerNotice notice;
+  notice.server = message.server;
+  notice.received_at = now - milliseconds(message.age_ms);
+  if (message.back_off_ms) {
+    const Duration left = milliseconds(*message.back_off_ms);
+    notice.kind = policy::NoticeKind::kBackOff;
+    notice.until = now + std::min(left, policy::kMaxBackOff);
+  }
+  return notice;
+}
+
 }  // namespace
 
 std::set<std::string> Node::SyncTargets(Instant now) {
@@ -56,7 +79,10 @@
 }
 
 void Node::Sync(Instant now) {
-  if (now < this->next_sync) return;
+  if (now < this->next_sync) {
+    this->SendDueNotices();
+    return;
+  }
   this->next_sync = now + kSyncPeriod;
   for (const auto& [name, service] : this->key_services) {
     // The leader's own key load needs no message.
@@ -67,6 +93,42 @@
   for (const auto& address : this->SyncTargets(now)) this->SendSync(address);
 }
 
+std::string Node::LeaderAddress(const KeyService& service) const {
+  const auto leader = this->readers.Instances().find(service.Owners().leader);
+  return leader == this->readers.Instances().end()
+             ? std::string()
+             : leader->second.peer_address;
+}
+
+void Node::SendDueNotices() {
+  for (const auto& [name, service] : this->key_services) {
+    if (!service->Notices().IsDue()) continue;
+    const std::string address = this->LeaderAddress(*service);
+    if (!address.empty()) this->SendSync(address);
+  }
+}
+
+NoticesByService Node::NoticesFor(const std::string& address) {
+  NoticesByService notices;
+  std::size_t room = kMaxNoticesPerSync;
+  for (const auto& [name, service] : this->key_services) {
+    if (this->LeaderAddress(*service) != address) continue;
+    NoticeBatch batch =
+        service->Notices().Untold(service->Leader(), room, kernel::Now());
+    room -= batch.notices.size();
+    if (!batch.notices.empty()) notices.emplace(name, std::move(batch));
+  }
+  return notices;
+}
+
+void Node::OnNoticesTold(const NoticesByService& told) {
+  for (const auto& [name, batch] : told) {
+    const auto service = this->key_services.find(name);
+    if (service != this->key_services.end())
+      service->second->Notices().OnTold(batch);
+  }
+}
+
 void Node::SendSync(const std::string& address) {
   if (address == this->self.peer_address) return;
   if (!this->syncing.insert(address).second) return;
@@ -80,14 +142,18 @@
   for (const auto& [name, service] : this->key_services) {
     const auto& owners = service->Owners();
     request.view_versions[name] = {owners.term, owners.sequence};
-    const auto leader = this->readers.Instances().find(owners.leader);
-    const bool to_leader = leader != this->readers.Instances().end() &&
-                           leader->second.peer_address == address;
+    const bool to_leader = this->LeaderAddress(*service) == address;
     if (to_leader) request.key_load[name] = service->Sketch().TakeCounts();
   }
+  const NoticesByService told = this->NoticesFor(address);
+  for (const auto& [name, batch] : told) {
+    for (const auto& notice : batch.notices) {
+      request.notices[name].push_back(ForMessage(notice, kernel::Now()));
+    }
+  }
   this->PostToPeer(
       address, kSyncPath, EncodeSync(request),
-      [this, address,
+      [this, address, told,
        sent_at = kernel::Now()](const net::TransferResult& result) {
         this->syncing.erase(address);
         if (result.end != net::TransferEnd::kComplete ||
@@ -96,6 +162,7 @@
           this->readers.OnPeerSilent(address, kernel::Now());
           return;
         }
+        this->OnNoticesTold(told);
         auto reply = DecodeSyncReply(result.answer.body);
         if (reply) {
           this->OnSyncReply(reply.value(), sent_at);
@@ -211,6 +278,12 @@
     if (load != request.key_load.end()) {
       service->Grantor().OnLoadReport(load->second);
     }
+    const auto notices = request.notices.find(name);
+    if (notices != request.notices.end()) {
+      for (const auto& notice : notices->second) {
+        service->OnNotice(FromMessage(notice, now), request.sender.name);
+      }
+    }
     const auto known = request.view_versions.find(name);
     const ViewVersion since =
         known == request.view_versions.end() ? ViewVersion() : known->second;
--- a/src/node/peer_message.cc
+++ b/src/node/peer_message.cc
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <limits>
+#include <map>
+#include <optional>
 #include <utility>
 
 #include "kernel/json.h"
@@ -91,6 +93,52 @@
   return valid ? json.asInt64() : -1;
 }
 
+Json::Value ToJson(const NoticeToLeader& notice) {
+  Json::Value json(Json::arrayValue);
+  json.append(notice.server.id);
+  json.append(Json::UInt64(notice.server.life));
+  json.append(Json::Int64(notice.age_ms));
+  if (notice.back_off_ms) json.append(Json::Int64(*notice.back_off_ms));
+  return json;
+}
+
+/// Nothing for what is malformed or belongs to a later build.
+std::optional<NoticeToLeader> NoticeFrom(const Json::Value& json) {
+  constexpr Json::ArrayIndex kFields = 3;
+  const bool has_fields = json.isArray() && json.size() >= kFields &&
+                          json.size() <= kFields + 1 && json[0].isString() &&
+                          json[1].isUInt64();
+  if (!has_fields) return std::nullopt;
+  NoticeToLeader notice;
+  notice.server = {json[0].asString(), json[1].asUInt64()};
+  notice.age_ms = MsFrom(json[2]);
+  const bool has_id =
+      !notice.server.id.empty() && notice.server.id.size() <= kMaxNoticeIdBytes;
+  if (!has_id || notice.age_ms < 0) return std::nullopt;
+  if (json.size() > kFields) {
+    notice.back_off_ms = MsFrom(json[kFields]);
+    if (*notice.back_off_ms < 0) return std::nullopt;
+  }
+  return notice;
+}
+
+/// At most kMaxNoticesPerSync of them.
+std::map<std::string, std::vector<NoticeToLeader>> NoticesFrom(
+    const Json::Value& json) {
+  std::map<std::string, std::vector<NoticeToLeader>> notices;
+  if (!json.isObject()) return notices;
+  std::size_t count = 0;
+  for (const auto& service : json.getMemberNames()) {
+    for (const auto& item : json[service]) {
+      auto notice = NoticeFrom(item);
+      if (!notice) continue;
+      if (++count > kMaxNoticesPerSync) return notices;
+      notices[service].push_back(std::move(*notice));
+    }
+  }
+  return notices;
+}
+
 Json::Value PairToJson(std::uint64_t first, std::uint64_t second) {
   Json::Value json(Json::arrayValue);
   json.append(Json::UInt64(first));
@@ -142,6 +190,11 @@
     json["configuration_version"] =
         Json::UInt64(*request.configuration_version);
   }
+  for (const auto& [service, notices] : request.notices) {
+    Json::Value& items = json["notices"][service] =
+        Json::Value(Json::arrayValue);
+    for (const auto& notice : notices) items.append(ToJson(notice));
+  }
   return kernel::PrintJson(json);
 }
 
@@ -184,6 +237,7 @@
       }
     }
   }
+  request.notices = NoticesFrom(json["notices"]);
   return request;
 }
 
--- a/src/node/peer_message.h
+++ b/src/node/peer_message.h
@@ -8,6 +8,7 @@
 
 #include <json/json.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -19,6 +20,7 @@
 #include "kernel/error.h"
 #include "kernel/time.h"
 #include "node/server_list.h"
+#include "policy/server_notices.h"
 #include "ranges/load_map.h"
 #include "ranges/range_table.h"
 #include "replica/row_replica.h"
@@ -43,6 +45,22 @@
 /// Term and sequence of a view of owners.
 using ViewVersion = std::pair<std::uint64_t, std::uint64_t>;
 
+/// What a server told the sender about itself.
+struct NoticeToLeader {
+  policy::ServerRun server;
+  std::int64_t age_ms = 0;  ///< Since the server's answer.
+  /// Left of the time for which the server wants no requests; empty when it
+  /// drains.
+  std::optional<std::int64_t> back_off_ms;
+
+  bool operator==(const NoticeToLeader&) const = default;
+};
+
+/// A message has at most so many of them, of all services together.
+inline constexpr std::size_t kMaxNoticesPerSync = 64;
+/// Servers with longer ids are not told of.
+inline constexpr std::size_t kMaxNoticeIdBytes = 256;
+
 /// "This is what I know": sent every so often.
 struct SyncRequest {
   InstanceRecord sender;
@@ -52,6 +70,8 @@
   /// Of the configuration in force, 0 if there is none; not told by older
   /// builds.
   std::optional<std::uint64_t> configuration_version;
+  /// Of servers of services that the receiver leads.
+  std::map<std::string, std::vector<NoticeToLeader>> notices;
 };
 
 struct TableChanges {
--- a/src/policy/server_notices.h
+++ b/src/policy/server_notices.h
@@ -38,6 +38,16 @@
 /// one request that it gets after each third.
 inline constexpr kernel::Duration kMaxBackOff = kernel::seconds(10);
 
+/// What one answer of a server told about it, as other instances hear it.
+struct ServerNotice {
+  ServerRun server;
+  NoticeKind kind = NoticeKind::kDraining;
+  kernel::Instant received_at = kernel::kNever;
+  kernel::Instant until = kernel::kNever;  ///< End of a back-off.
+
+  bool operator==(const ServerNotice&) const = default;
+};
+
 /// The answer that made this instance stop sending to a server.
 struct NoticeSource {
   NoticeKind kind = NoticeKind::kDraining;
--- a/test/scenario/range_world_impl.h
+++ b/test/scenario/range_world_impl.h
@@ -180,6 +180,17 @@
       const Duration at(static_cast<std::int64_t>(this->RandomBelow(span)));
       this->Schedule(at, [this] { this->ApplyRandomFault(); });
     }
+    for (unsigned i = 0; i < this->options.notices; ++i) {
+      const Duration at(static_cast<std::int64_t>(this->RandomBelow(span)));
+      this->Schedule(at, [this] {
+        const Server& server =
+            this->servers[this->RandomBelow(this->servers.size())];
+        this->TellDraining(server.id, server.life + this->RandomBelow(2));
+        this->TellBackOff(
+            this->servers[this->RandomBelow(this->servers.size())],
+            milliseconds(this->RandomBelow(9000)));
+      });
+    }
     for (unsigned i = 0; i < this->options.restores; ++i) {
       const Duration at(static_cast<std::int64_t>(this->RandomBelow(span)));
       this->Schedule(at, [this] { this->RestoreAtRandom(); });
@@ -244,6 +255,21 @@
     }
   }
 
+  void TellDraining(const std::string& server, std::uint64_t life) {
+    for (auto& instance : this->instances) {
+      if (!instance.up || !instance.grantor->Leads()) continue;
+      instance.grantor->OnServerDraining(server, life, this->now);
+    }
+  }
+
+  void TellBackOff(const Server& server, Duration length) {
+    for (auto& instance : this->instances) {
+      if (!instance.up || !instance.grantor->Leads()) continue;
+      instance.grantor->OnServerBackOff(server.id, server.life,
+                                        this->now + length, this->now);
+    }
+  }
+
   // Faults.
 
   void CutServerLink(unsigned instance, unsigned server, Duration length) {
