Instances that are many retry requests that were turned away

What callers saw: from 41 instances on (slack 50; 52 with 64) no request that a server turned away or whose connection broke was ever sent to another one: it was refused, and its caller came back later. Cause: the slack of the limit on retries is divided by the number of instances, and the bucket of each holds no more than its share. At 66 and 79 instances that is 0.78 and 0.57 of a retry, so that one is never allowed, although the requests themselves (retry_ratio) allow many. Change: the bucket of an instance holds one retry at least. So that all of these together stay within the limit, an instance counts retries and first attempts of the last ten seconds: its retries are at most its share of the slack and what these first attempts add. Where the share is one retry or more nothing changes. Ruled out: a capacity of one without the count, which exceeds the limit (below).

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -227,12 +227,13 @@
                            net::HttpRequest request) {
   Job* job = this->Accept(ref, std::move(request));
   if (job == nullptr) return;
+  const Instant now = kernel::Now();
   ServiceState& state = this->GetOrCreateServiceState(job->service);
-  state.budget.OnFirstAttempt();
+  state.budget.OnFirstAttempt(now);
   if (job->keyed && this->on_key_used) {
     this->on_key_used(job->service, *job->metadata.key);
   }
-  this->Dispatch(*job, kernel::Now());
+  this->Dispatch(*job, now);
 }
 
 void Dispatcher::Dispatch(Job& job, Instant now) {
--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -332,7 +332,7 @@
                  : attempts_exhausted) {
     return false;
   }
-  if (!never_sent && !state.budget.TryConsume()) {
+  if (!never_sent && !state.budget.TryConsume(now)) {
     this->metrics.Count("chervilmux_repeat_denied_total").Add();
     return false;
   }
--- a/src/policy/retry_policy.cc
+++ b/src/policy/retry_policy.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
 
 namespace chervilmux::policy {
 namespace {
@@ -11,6 +12,9 @@
 constexpr auto kIdempotentMethods = std::to_array<std::string_view>(
     {"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"});
 
+/// Retries and first attempts are counted by the second.
+constexpr kernel::Duration kBudgetPeriod = kernel::seconds(1);
+
 /// Exponential backoff for one kind of failure.
 struct Backoff {
   ErrorKind failure;
@@ -68,21 +72,54 @@
       capacity(capacity),
       level(capacity) {}
 
-void RetryBudget::OnFirstAttempt() {
+void RetryBudget::OnFirstAttempt(kernel::Instant now) {
+  this->Advance(now);
+  this->periods.front().first_attempts += 1;
   this->level =
-      std::min(this->capacity, this->level + this->tokens_per_request);
+      std::min(this->MaxLevel(), this->level + this->tokens_per_request);
 }
 
-bool RetryBudget::TryConsume() {
-  if (this->level < 1) return false;
+bool RetryBudget::TryConsume(kernel::Instant now) {
+  this->Advance(now);
+  if (this->level < 1 || !this->FitsWindow()) return false;
   this->level -= 1;
+  this->periods.front().retries += 1;
   return true;
 }
 
 void RetryBudget::SetCapacity(double new_capacity) {
-  this->level = std::min(
-      this->level + std::max(0.0, new_capacity - this->capacity), new_capacity);
+  this->level += std::max(0.0, new_capacity - this->capacity);
   this->capacity = new_capacity;
+  this->level = std::min(this->level, this->MaxLevel());
+}
+
+void RetryBudget::Advance(kernel::Instant now) {
+  if (now < this->period_end) return;
+  if (now >= this->period_end + kPeriods * kBudgetPeriod) {
+    this->periods.fill({});
+    this->period_end = now + kBudgetPeriod;
+    return;
+  }
+  for (; now >= this->period_end; this->period_end += kBudgetPeriod) {
+    std::ranges::rotate(this->periods, this->periods.end() - 1);
+    this->periods.front() = {};
+  }
+}
+
+double RetryBudget::MaxLevel() const { return std::max(this->capacity, 1.0); }
+
+/// Whether another retry stays below the limit of every window that has it.
+bool RetryBudget::FitsWindow() const {
+  std::uint64_t retries = 0;
+  for (const Period& period : this->periods) retries += period.retries;
+  std::uint64_t first_attempts = 0;
+  // The oldest two reach beyond the window.
+  for (const Period& period : std::span(this->periods).first<kPeriods - 2>())
+    first_attempts += period.first_attempts;
+  const double allowed =
+      this->capacity +
+      this->tokens_per_request * static_cast<double>(first_attempts);
+  return static_cast<double>(retries + 1) <= allowed;
 }
 
 std::optional<kernel::Duration> RetryDelay(const FailedAttempt& attempt,
--- a/src/policy/retry_policy.h
+++ b/src/policy/retry_policy.h
@@ -9,6 +9,8 @@
 #ifndef CHERVILMUX_POLICY_RETRY_POLICY_H_
 #define CHERVILMUX_POLICY_RETRY_POLICY_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,21 +29,41 @@
 
 /// A token bucket that limits retries: each first attempt adds
 /// `tokens_per_request`, each retry removes one token.
+///
+/// Many instances share one limit, so that the capacity of each can be less
+/// than one token. Its bucket then holds one all the same, but over a window it
+/// grants no more than `capacity` and what the first attempts of that window
+/// have added.
 class RetryBudget {
  public:
   RetryBudget(double tokens_per_request, double capacity);
-  void OnFirstAttempt();
+  void OnFirstAttempt(kernel::Instant now);
   /// Removes one token; returns false when less than one is left.
-  bool TryConsume();
+  bool TryConsume(kernel::Instant now);
 
   /// Changes the bucket's capacity. An increase adds the difference as tokens;
   /// a decrease removes the tokens above the new capacity.
   void SetCapacity(double new_capacity);
 
  private:
+  /// What happened in one second.
+  struct Period {
+    std::uint64_t first_attempts = 0;
+    std::uint64_t retries = 0;
+  };
+  /// The window of ten seconds and the second before it, so that retries count
+  /// for longer.
+  static constexpr int kPeriods = 11;
+
+  void Advance(kernel::Instant now);
+  double MaxLevel() const;
+  bool FitsWindow() const;
+
   double tokens_per_request;
   double capacity;
-  double level;  ///< Number of tokens in the bucket.
+  double level;                          ///< Number of tokens in the bucket.
+  std::array<Period, kPeriods> periods;  ///< The newest first.
+  kernel::Instant period_end = kernel::kNever;
 };
 
 /// A failed attempt, as input to the decision to retry.
--- a/src/routing/router_task.cc
+++ b/src/routing/router_task.cc
@@ -150,7 +150,7 @@
   job.reply = std::move(request.reply);
   this->jobs.emplace(job.id, std::move(owned_job));
   this->job_by_request_id[job.request_id] = job.id;
-  this->retry_budget.OnFirstAttempt();
+  this->retry_budget.OnFirstAttempt(kernel::Now());
   if (this->jobs.size() > this->limits.max_jobs) {
     this->FinishJob(
         job,
@@ -231,7 +231,7 @@
                                         job.deadline};
     const auto delay = policy::RetryDelay(attempt, RandomFraction(), now);
     const bool may_retry = delay && (!RetryLoadsServer(error.kind) ||
-                                     this->retry_budget.TryConsume());
+                                     this->retry_budget.TryConsume(now));
     if (may_retry) {
       this->metrics.CountError("chervilmux_retries_total", error.kind);
       job.state = JobState::kBackoff;
--- a/test/correctness/server_queue_test.cc
+++ b/test/correctness/server_queue_test.cc
@@ -130,11 +130,11 @@
   }
   SUBCASE("the retry budget limits the number of retries") {
     RetryBudget budget(0.1, 2);
-    CHECK(budget.TryConsume());
-    CHECK(budget.TryConsume());
-    CHECK(!budget.TryConsume());
-    for (int i = 0; i < 11; ++i) budget.OnFirstAttempt();
-    CHECK(budget.TryConsume());
+    CHECK(budget.TryConsume(kNow));
+    CHECK(budget.TryConsume(kNow));
+    CHECK(!budget.TryConsume(kNow));
+    for (int i = 0; i < 11; ++i) budget.OnFirstAttempt(kNow);
+    CHECK(budget.TryConsume(kNow));
   }
 }
 
