--- a/test/scenario/notice_world.cc
+++ b/test/scenario/notice_world.cc
@@ -414,7 +414,7 @@
                    : request->tried.size() >= kMaxAttempts + kExtraSends;
     if (exhausted) return false;
     const bool is_free = never_sent || !this->trial.limits_repeats;
-    if (!is_free && !run->budget.TryConsume()) return false;
+    if (!is_free && !run->budget.TryConsume(this->Now())) return false;
     this->Dispatch(run, request);
     return true;
   }
@@ -481,7 +481,7 @@
           this->RandomUnit() * static_cast<double>(this->runs.size()))];
     } while (run->ended);
     this->judge.OnAsked(this->NowS());
-    run->budget.OnFirstAttempt();
+    run->budget.OnFirstAttempt(this->Now());
     this->Dispatch(run, request);
   }
 
