RetryBudget moves its seconds with an algorithm that clang-tidy can read

Cause: std::ranges::rotate doesn't compile with the linter's clang and the library's headers. Change: std::move_backward. Measured: tools/tidy on the file is clean; the four cases on retries pass.

--- a/src/policy/retry_policy.cc
+++ b/src/policy/retry_policy.cc
@@ -101,7 +101,8 @@
     return;
   }
   for (; now >= this->period_end; this->period_end += kBudgetPeriod) {
-    std::ranges::rotate(this->periods, this->periods.end() - 1);
+    std::move_backward(this->periods.begin(), this->periods.end() - 1,
+                       this->periods.end());
     this->periods.front() = {};
   }
 }
