A waiting request that was sent meanwhile is left alone

What callers could see: a request run twice, or told "not run" while it runs (TWICE, REFUSED). Cause: DispatchQueue() walks a copy of the queue and asked only whether a request still exists. A refusal within the walk could end other connections (by the limit on unsent answers, or by a send that fails), the end of one whose request was waiting dispatches the queue again, and what that had sent was sent or refused a second time by the outer walk. Change: the walk passes over what no longer waits, and connections that are over the limit on unsent answers end in a message of their own, not within the answer that exceeds it. Failed before: "connections that are given up end after the answer that ends them" (1 request told as gone within Answer()). The walk itself has no test: no test plays the dispatcher with connections that end.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -392,7 +392,8 @@
   const std::vector<std::uint64_t> waiting = state.waiting;
   for (const std::uint64_t id : waiting) {
     const auto found = this->jobs.find(id);
-    if (found == this->jobs.end()) continue;
+    // A refusal can end connections, whose places others take meanwhile.
+    if (found == this->jobs.end() || !found->second->is_waiting) continue;
     Job& job = *found->second;
     const DispatchDecision decision = this->FindServer(job, state, now);
     if (decision.kind == DispatchDecision::Kind::kQueue) {
--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -113,6 +113,9 @@
     return this->connections.size() < this->limits.max_connections;
   }
   void CloseIdlest();
+  /// Does so in a message: the owner hears of ended connections, and may be
+  /// giving an answer now.
+  void LimitUnsentBytesSoon();
   void LimitUnsentBytes();
 
   kernel::ReactorTask& task;
@@ -128,6 +131,9 @@
   /// Shared with the message that clears it, which may outlive the server.
   std::shared_ptr<std::vector<std::unique_ptr<Connection>>> closed =
       std::make_shared<std::vector<std::unique_ptr<Connection>>>();
+  /// Expires with the server, for messages that may outlive it.
+  std::shared_ptr<char> alive = std::make_shared<char>();
+  bool will_limit = false;  ///< The message is on its way.
   kernel::Timer sweep;
   Instant next_sweep = kernel::Now() + kSweepPeriod;
   kernel::Duration behind{};
@@ -357,7 +363,7 @@
     this->idle_since = kernel::Now();
     this->idle_until = this->idle_since + this->owner.limits.idle_timeout;
     this->Flush();
-    this->owner.LimitUnsentBytes();
+    this->owner.LimitUnsentBytesSoon();
     this->ReadRequests();
     this->LimitInput();
   }
@@ -585,6 +591,16 @@
   }
 }
 
+void HttpFront::Impl::LimitUnsentBytesSoon() {
+  if (this->will_limit || this->unsent <= this->limits.max_unsent_bytes) return;
+  this->will_limit = true;
+  this->task.Post([this, is_alive = std::weak_ptr<char>(this->alive)] {
+    if (is_alive.expired()) return;
+    this->will_limit = false;
+    this->LimitUnsentBytes();
+  });
+}
+
 void HttpFront::Impl::LimitUnsentBytes() {
   while (this->unsent > this->limits.max_unsent_bytes) {
     Connection* longest = nullptr;
--- a/test/correctness/data_path_test.cc
+++ b/test/correctness/data_path_test.cc
@@ -440,6 +440,31 @@
   }
 }
 
+// Failure: the end of other connections reaches the owner while it gives an
+// answer, so that it acts twice on a request.
+TEST_CASE("connections that are given up end after the answer that ends them") {
+  Front front;
+  FrontLimits limits;
+  limits.max_unsent_bytes = 1U << 20U;
+  front.Do([&] { front.front->SetLimits(limits); });
+  const std::string large(24U << 20U, 'x');
+  const Caller first(front.address);
+  first.Send(Get("/1") + Get("/2"));
+  const Caller second(front.address);
+  second.Send(Get("/3"));
+  while (front.Requests() < 3) std::this_thread::yield();
+  unsigned gone_meanwhile = 0;
+  front.Do([&] {
+    HttpAnswer answer = PlainAnswer(200, large);
+    front.front->Answer(front.refs.at("/2"), answer);
+    front.front->Answer(front.refs.at("/3"), answer);
+    gone_meanwhile = front.gone_count;
+  });
+  CHECK(front.UnsentBytes() <= limits.max_unsent_bytes);
+  CHECK(gone_meanwhile == 0);
+  CHECK(front.gone_count == 1);
+}
+
 // Failure: idle connections keep the memory of the largest answer that each has
 // carried, and fill a small instance.
 TEST_CASE("connections keep no memory of answers that were taken") {
