An instance that starts asks others than itself until one has answered

What callers could see: after a restore a new instance went on with what the copy said (CONFIG, DRAIN), since it asked no peer. Found by the reviewer, by reading. Cause: for its first 3 s it also asked one instance at random, itself among them, answered or not. With two instances each round missed with one half, and a reader in the only failure domain asks nobody afterwards. Change: it picks among other instances and seeds, for 3 s and until one has answered. An address is found without a copy of all of them. Measured: correctness passes; "any peer is another instance or a seed" is the new function's test.

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -155,6 +155,7 @@
   std::map<std::string, ViewVersion, std::less<>> passed_on;
   kernel::Instant next_sync = kernel::kNever;
   kernel::Instant started_at = kernel::Now();
+  bool was_answered = false;  ///< By any peer.
   kernel::Instant next_register = kernel::kNever;
   bool registering = false;
   bool registered = false;
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -69,10 +69,9 @@
   for (auto& address : this->readers.Sources(now, this->random())) {
     targets.insert(std::move(address));
   }
-  if (now - this->started_at < kNewcomerTime && !instances.empty()) {
-    const auto pick =
-        static_cast<std::ptrdiff_t>(this->random() % instances.size());
-    targets.insert(std::next(instances.begin(), pick)->second.peer_address);
+  if (now - this->started_at < kNewcomerTime || !this->was_answered) {
+    if (auto address = this->readers.AnyPeer(this->random()))
+      targets.insert(std::move(*address));
   }
   targets.erase(this->self.peer_address);
   return targets;
@@ -191,6 +190,7 @@
 }
 
 void Node::OnSyncReply(const SyncReply& reply, Instant sent_at) {
+  this->was_answered = true;
   // What belongs to an earlier era says nothing about the store as it is.
   const bool counts =
       reply.knowledge_era >= this->configuration_table.Copy().Era();
--- a/src/node/store_readers.cc
+++ b/src/node/store_readers.cc
@@ -1,7 +1,9 @@
 #include "node/store_readers.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <set>
+#include <utility>
 
 namespace chervilmux::node {
 namespace {
@@ -94,15 +96,28 @@
     }
   }
   if (!this->KnowledgeIsOld(now)) return sources;
-  // Nobody asked so far knows anything new: ask anybody. The seeds count like
-  // instances: those that are known may all be as far behind, and many
-  // instances together must not press on the few seeds.
-  std::vector<std::string> anybody = this->seeds;
-  for (const auto& [name, record] : this->instances) {
-    if (name != this->self.name) anybody.push_back(record.peer_address);
-  }
-  if (!anybody.empty()) sources.push_back(anybody[random / 7 % anybody.size()]);
+  // Nobody asked so far knows anything new: ask anybody.
+  if (auto address = this->AnyPeer(random / 7))
+    sources.push_back(std::move(*address));
   return sources;
 }
 
+/// The seeds count like instances: those that are known may all be as far
+/// behind, and many instances together must not press on the few seeds.
+std::optional<std::string> StoreReaders::AnyPeer(std::uint64_t random) const {
+  const auto self_at = this->instances.find(this->self.name);
+  const std::size_t others =
+      this->instances.size() - (self_at == this->instances.end() ? 0 : 1);
+  const std::size_t peers = this->seeds.size() + others;
+  if (peers == 0) return std::nullopt;
+  std::size_t pick = random % peers;
+  if (pick < this->seeds.size()) return this->seeds[pick];
+  pick -= this->seeds.size();
+  for (auto at = this->instances.begin();; ++at) {
+    if (at == self_at) continue;
+    if (pick == 0) return at->second.peer_address;
+    pick -= 1;
+  }
+}
+
 }  // namespace chervilmux::node
--- a/src/node/store_readers.h
+++ b/src/node/store_readers.h
@@ -67,6 +67,10 @@
   /// Whether this instance should follow the store.
   bool Follows(kernel::Instant now) const;
 
+  /// The address of a peer or a seed, each as likely as any other; nothing if
+  /// none is known. `random` picks among them.
+  std::optional<std::string> AnyPeer(std::uint64_t random) const;
+
   /// Addresses of the peers to ask for news. `random` picks among them.
   std::vector<std::string> Sources(kernel::Instant now,
                                    std::uint64_t random) const;
--- a/test/correctness/store_readers_test.cc
+++ b/test/correctness/store_readers_test.cc
@@ -119,6 +119,23 @@
   }
 }
 
+// Failure: an instance that starts asks itself in place of its only peer.
+TEST_CASE("any peer is another instance or a seed") {
+  const InstanceRecord self{"a2", 1, "a", "a2"};
+  StoreReaders reader(self);
+  CHECK_FALSE(reader.AnyPeer(5));
+  reader.SetInstances({{"a2", self}});
+  CHECK_FALSE(reader.AnyPeer(5));
+  reader.SetInstances({{"a1", {"a1", 1, "a", "a1"}},
+                       {"a2", self},
+                       {"b1", {"b1", 1, "b", "b1"}}});
+  reader.SetSeeds({"s1"});
+  std::multiset<std::string> peers;
+  for (std::uint64_t i = 0; i < 6; ++i) peers.insert(reader.AnyPeer(i).value());
+  CHECK(peers ==
+        std::multiset<std::string>{"a1", "a1", "b1", "b1", "s1", "s1"});
+}
+
 TEST_CASE("an instance whose peers know as little as itself") {
   constexpr Instant kNow = Instant(kernel::seconds(10));
   const InstanceRecord self{"a1", 1, "a", "a1"};
