--- a/src/policy/retry_policy.cc
+++ b/src/policy/retry_policy.cc
@@ -109,8 +109,10 @@
 
 double RetryBudget::MaxLevel() const { return std::max(this->capacity, 1.0); }
 
-/// Whether another retry stays below the limit of every window that has it.
+/// Whether another retry stays below the limit of every window that has it. The
+/// bucket alone sees to that unless it holds more than the capacity.
 bool RetryBudget::FitsWindow() const {
+  if (this->MaxLevel() <= this->capacity) return true;
   std::uint64_t retries = 0;
   for (const Period& period : this->periods) retries += period.retries;
   std::uint64_t first_attempts = 0;
--- a/test/correctness/retry_budget_test.cc
+++ b/test/correctness/retry_budget_test.cc
@@ -114,6 +114,20 @@
   }
 }
 
+// Failure: an instance whose share is several retries gets fewer than the
+// bucket holds, since its first attempts count for a shorter time.
+TEST_CASE("an instance among few retries all that its first attempts add") {
+  RetryBudget budget(0.08, 5);
+  unsigned retries = 0;
+  constexpr unsigned kAttempts = 6000;
+  for (unsigned i = 0; i < kAttempts; ++i) {
+    const Instant now = Instant(seconds(100)) + i * milliseconds(10);
+    budget.OnFirstAttempt(now);
+    if (budget.TryConsume(now)) retries += 1;
+  }
+  CHECK(retries >= 0.08 * kAttempts);
+}
+
 // Failure: a retry that was saved long ago adds to those of a window without
 // requests.
 TEST_CASE("an instance among many retries nothing without recent requests") {
