Ends that libcurl has found are told before deadlines are judged

Cause: libcurl may have finished a transfer in a turn that did not collect its messages; a deadline that is judged first ended the transfer as timed out. Found by the reviewer, by reading; no test shows it. Change: CheckTime() collects first.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -396,6 +396,7 @@
   void CheckTime() {
     const kernel::Instant now = kernel::Now();
     // What has arrived counts, not what a task that is behind has read.
+    this->Collect();
     if (this->IsOverTime(now)) this->ReadArrived();
     std::vector<TransferId> overdue;
     for (const auto& [deadline, id] : this->deadlines) {
