--- a/test/correctness/store_readers_test.cc
+++ b/test/correctness/store_readers_test.cc
@@ -141,7 +141,7 @@
   const InstanceRecord self{"a1", 1, "a", "a1"};
   StoreReaders reader(self);
   reader.SetInstances({{"a1", self}, {"a2", {"a2", 1, "a", "a2"}}});
-  const auto asked = [&reader](std::uint64_t draws) {
+  const auto asked = [&](std::uint64_t draws) {
     std::map<std::string, int> count;
     for (std::uint64_t i = 0; i < draws; ++i) {
       for (const auto& address : reader.Sources(kNow, i * 7)) count[address]++;
