Planned stops: what is taken late gets an answer, and leadership is handed over

Change: the course of a stop is fixed when it begins. Requests that may not finish before it ends are refused as not run (policy/stop_admission), servers get no more time than is left, and 0.5 s before the end what is out gets 504 stop-cut-off and what has not arrived whole 503. A grace under 2.3 s no longer ends in SIGKILL.

Now the leader renews grants until another instance has agreed to lead, frees the lease for it and tells it so (node/succession).

The queue of a server began with one request at a time and rose only with answers, so that one request on a frozen server held back all others; it now rises by one each 0.5 s without an answer.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -5,6 +5,7 @@
 
 #include "dispatch/dispatcher_state.h"
 #include "policy/connection_share.h"
+#include "policy/stop_admission.h"
 
 namespace chervilmux::dispatch {
 namespace {
@@ -23,6 +24,8 @@
 constexpr double kMaxWaitShare = 0.4;
 /// Retry-After delay for a request whose key has no usable owner.
 constexpr Duration kNoOwnerRetryAfter = milliseconds(300);
+/// The same while this instance stops: others serve the request at once.
+constexpr Duration kStoppingRetryAfter = milliseconds(10);
 
 /// Maximum time for which a request of `route` waits for a free server.
 Duration MaxWait(const model::Route& route) {
@@ -267,6 +270,11 @@
 Dispatcher::DispatchDecision Dispatcher::FindServer(Job& job,
                                                     ServiceState& state,
                                                     Instant now) {
+  if (!this->FinishesBeforeStop(job, state, now)) {
+    return DispatchDecision::RefuseWith(
+        ErrorKind::kStopping, "this instance may end before the request does",
+        kStoppingRetryAfter);
+  }
   if (job.keyed) return this->FindOwner(job, state, now);
   if (state.loads.UsableSlots(now) == 0) {
     if (const auto left = state.loads.ShortestBackOffLeft(now)) {
@@ -433,9 +441,9 @@
   job.sent_at = now;
   net::Exchange exchange;
   exchange.address = server.address;
-  exchange.request =
-      this->wire.MakeServerRequest(job.request, server, job.deadline - now);
-  exchange.deadline = job.deadline;
+  exchange.request = this->wire.MakeServerRequest(
+      job.request, server, this->ServerDeadline(job) - now);
+  exchange.deadline = this->ServerDeadline(job);
   exchange.may_repeat = job.route->idempotent;
   // A server may write an earlier answer once more on a kept connection. Only
   // an id that the connection has not carried yet tells the answers apart.
@@ -455,8 +463,8 @@
   };
   exchange.renew = [this, id = job.id, server] {
     const Job& waiting = *this->jobs.at(id);
-    return this->wire.MakeServerRequest(waiting.request, server,
-                                        waiting.deadline - kernel::Now());
+    return this->wire.MakeServerRequest(
+        waiting.request, server, this->ServerDeadline(waiting) - kernel::Now());
   };
   exchange.may_send = [this, &state, keyed = job.keyed,
                        run = policy::ServerRun{server_id, server.life}] {
@@ -472,6 +480,21 @@
   job.transfer = this->links.Start(std::move(exchange));
 }
 
+bool Dispatcher::FinishesBeforeStop(const Job& job, const ServiceState& state,
+                                    Instant now) const {
+  if (!this->stop_end) return true;
+  policy::StopRequest request;
+  request.latency_objective = job.route->latency_objective;
+  request.time_left = job.deadline - now;
+  request.service_time = state.loads.MeanServiceTime();
+  request.idempotent = job.route->idempotent;
+  return policy::FinishesBeforeStop(request, *this->stop_end - now);
+}
+
+Instant Dispatcher::ServerDeadline(const Job& job) const {
+  return std::min(job.deadline, this->stop_end.value_or(job.deadline));
+}
+
 void Dispatcher::DispatchWaitingRequests(Instant now) {
   for (auto& [name, state] : this->services) {
     if (!state->waiting.empty()) this->DispatchQueue(*state, now);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -102,6 +102,11 @@
     this->on_server_notice = std::move(observer);
   }
 
+  /// Prepares for the end of this instance at `end`. Requests that may not
+  /// finish by then are refused as not run, whether they arrive or wait, and
+  /// servers are given no longer.
+  void BeginStop(kernel::Instant end) { this->stop_end = end; }
+
   void OnRequest(const net::RequestRef& ref, net::HttpRequest request);
   void OnCallerDisconnected(const net::RequestRef& ref);
 
@@ -144,6 +149,11 @@
   void RecordCompletion(Job& job, policy::AttemptOutcome end,
                         const std::optional<policy::ReportedLoad>& load,
                         kernel::Instant now);
+  /// Whether `job` is expected to finish before a stop ends this instance.
+  bool FinishesBeforeStop(const Job& job, const ServiceState& state,
+                          kernel::Instant now) const;
+  /// Until when a server may work on `job`.
+  kernel::Instant ServerDeadline(const Job& job) const;
   bool RetryIfAllowed(Job& job, kernel::ErrorKind failure, kernel::Instant now);
   void DispatchQueue(ServiceState& state, kernel::Instant now);
   void Refuse(Job& job, const DispatchDecision& decision);
@@ -173,6 +183,7 @@
   DispatcherSettings settings;
   std::size_t instance_count;
   bool config_is_current = false;
+  std::optional<kernel::Instant> stop_end;  ///< Set once the stop has begun.
   std::unique_ptr<routing::RouteTable> routes;
   std::shared_ptr<const model::Configuration> config;
   ServerDirectory directory;
--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -294,7 +294,9 @@
       job.failed_connects += 1;
       break;
     case TransferEnd::kTimedOut:
-      kind = ErrorKind::kServerSilent;
+      kind = this->stop_end && now >= *this->stop_end
+                 ? ErrorKind::kStopCutOff
+                 : ErrorKind::kServerSilent;
       end = AttemptOutcome::kTimedOut;
       break;
     case TransferEnd::kTruncated:
@@ -333,6 +335,8 @@
   if (job.caller_disconnected || (!not_run && !job.route->idempotent))
     return false;
   if (now + state.loads.MeanServiceTime() / 2 >= job.deadline) return false;
+  // Whatever the last attempt's outcome is says more than that of the stop.
+  if (!this->FinishesBeforeStop(job, state, now)) return false;
   const unsigned sends = static_cast<unsigned>(job.tried_servers.size());
   const bool attempts_exhausted =
       sends >= job.route->max_attempts + kExtraSends ||
--- a/src/kernel/error.cc
+++ b/src/kernel/error.cc
@@ -49,6 +49,8 @@
      "slow down: too many requests are being retried"},
     {kStopping, "stopping", 503, kNotRun, true, 1,
      "retry: this instance is shutting down"},
+    {kStopCutOff, "stop-cut-off", 504, kUnknown, false, 0,
+     "check whether the request took effect before repeating it"},
     {kServerConnect, "server-connect", 503, kNotRun, true, 1,
      "wait: the owner does not accept connections"},
     {kServerShed, "server-shed", 503, kNotRun, true, 1,
--- a/src/kernel/error.h
+++ b/src/kernel/error.h
@@ -46,6 +46,7 @@
   kDeadlineExceeded,
   kRetryBudgetExhausted,
   kStopping,
+  kStopCutOff,
   kServerConnect,
   kServerShed,
   kServerFenced,
--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -113,6 +113,9 @@
     return this->connections.size() < this->limits.max_connections;
   }
   void CloseIdlest();
+  /// A copy, for work that may end connections. Those that end stay valid until
+  /// the next message.
+  std::vector<Connection*> AllConnections() const;
   /// Does so in a message: the owner hears of ended connections, and may be
   /// giving an answer now.
   void LimitUnsentBytesSoon();
@@ -218,6 +221,20 @@
     }
   }
 
+  /// Ends the connection where nothing but a part of a request, or not even
+  /// that, has arrived.
+  void EndPartialRequest(const kernel::Error& error) {
+    if (this->retired || this->lingering || this->ending) return;
+    this->ReadArrived();
+    if (this->retired || this->lingering || this->ending) return;
+    if (!this->slots.empty() || !this->output.empty()) return;
+    if (this->reader.InMessage()) {
+      this->Refuse(error);
+    } else {
+      this->CloseIdle(ConnectionEnd::kStop);
+    }
+  }
+
   bool IsIdle() const {
     return this->slots.empty() && this->output.empty() && !this->ending &&
            !this->reader.InMessage();
@@ -627,16 +644,22 @@
   if (this->acceptor) this->acceptor->Resume();
 }
 
-void HttpFront::Impl::Sweep() {
-  const Instant now = kernel::Now();
-  this->behind = std::max(kernel::Duration(0), now - this->next_sweep);
-  this->next_sweep = now + kSweepPeriod;
+std::vector<HttpFront::Impl::Connection*> HttpFront::Impl::AllConnections()
+    const {
   std::vector<Connection*> all;
   all.reserve(this->connections.size());
   for (const auto& [id, connection] : this->connections) {
     all.push_back(connection.get());
   }
-  for (Connection* connection : all) connection->CheckTime(now);
+  return all;
+}
+
+void HttpFront::Impl::Sweep() {
+  const Instant now = kernel::Now();
+  this->behind = std::max(kernel::Duration(0), now - this->next_sweep);
+  this->next_sweep = now + kSweepPeriod;
+  for (Connection* connection : this->AllConnections())
+    connection->CheckTime(now);
   if (this->acceptor) this->acceptor->Resume();
 }
 
@@ -675,6 +698,11 @@
   this->impl->stopped = true;
 }
 
+void HttpFront::EndPartialRequests(const kernel::Error& error) {
+  for (auto* connection : this->impl->AllConnections())
+    connection->EndPartialRequest(error);
+}
+
 bool HttpFront::HasCallerLeft(const RequestRef& ref) const {
   const auto found = this->impl->connections.find(ref.connection);
   return found == this->impl->connections.end() ||
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -106,6 +106,10 @@
   /// close as soon as their last answer is written.
   void StopAccepting();
 
+  /// Refuses the requests that have not arrived whole, and closes connections
+  /// that are idle. Requests that arrive whole later are passed on as before.
+  void EndPartialRequests(const kernel::Error& error);
+
   /// Requests read and not answered yet, on all connections.
   std::size_t Pending() const;
 
--- a/src/net/server_links.cc
+++ b/src/net/server_links.cc
@@ -87,8 +87,12 @@
 
   TransferId Start(Exchange exchange);
   void Cancel(TransferId id);
+  void EndAll();
   void CloseIdle(const Address& address);
   void CheckTime(Instant now);
+  /// A copy, for work that may end connections. Those that end stay valid until
+  /// the next message.
+  std::vector<Link*> AllLinks() const;
 
   void Finish(Link& link, TransferResult result, bool reusable);
   void Retire(Link& link);
@@ -201,11 +205,17 @@
         this->Fail(TransferEnd::kNotSent);
       }
     } else if (now >= this->exchange->deadline + kAnswerGrace) {
-      this->ReadArrived();
-      if (this->exchange) this->Fail(TransferEnd::kTimedOut);
+      this->TimeOut();
     }
   }
 
+  /// Ends the transfer; a whole answer that has arrived counts.
+  void TimeOut() {
+    if (!this->exchange) return;
+    this->ReadArrived();
+    if (this->exchange) this->Fail(TransferEnd::kTimedOut);
+  }
+
   void Close() {
     this->retired = true;
     if (this->stream.get_handle() == ACE_INVALID_HANDLE) return;
@@ -520,11 +530,19 @@
   for (Link* link : stale) this->Retire(*link);
 }
 
-void ServerLinks::Impl::CheckTime(Instant now) {
+std::vector<ServerLinks::Impl::Link*> ServerLinks::Impl::AllLinks() const {
   std::vector<Link*> all;
   all.reserve(this->links.size());
   for (const auto& [link, owned] : this->links) all.push_back(link);
-  for (Link* link : all) link->CheckTime(now);
+  return all;
+}
+
+void ServerLinks::Impl::CheckTime(Instant now) {
+  for (Link* link : this->AllLinks()) link->CheckTime(now);
+}
+
+void ServerLinks::Impl::EndAll() {
+  for (Link* link : this->AllLinks()) link->TimeOut();
 }
 
 ServerLinks::ServerLinks(kernel::ReactorTask& task)
@@ -535,6 +553,7 @@
   return this->impl->Start(std::move(exchange));
 }
 void ServerLinks::Cancel(TransferId id) { this->impl->Cancel(id); }
+void ServerLinks::EndAll() { this->impl->EndAll(); }
 void ServerLinks::CloseIdle(const Address& address) {
   this->impl->CloseIdle(address);
 }
--- a/src/net/server_links.h
+++ b/src/net/server_links.h
@@ -67,6 +67,9 @@
   /// Abandons the request and closes its connection; `done` is not called.
   void Cancel(TransferId id);
 
+  /// Ends all transfers as at their deadlines: answers that have arrived count.
+  void EndAll();
+
   /// Closes the idle connections to `address`.
   void CloseIdle(const Address& address);
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -29,11 +29,6 @@
 /// to be at most this old: a new one must be in force after 2 s.
 constexpr Duration kCurrentAge = milliseconds(1800);
 constexpr Duration kRegisterRetry = milliseconds(500);
-/// The platform's balancer takes an instance out after two misses, one second
-/// apart; until then new connections still come.
-constexpr Duration kLeaveRotation = milliseconds(2300);
-/// Left of the grace when the process ends by itself.
-constexpr Duration kStopReserve = milliseconds(300);
 
 /// Share of the memory that unfinished answers of servers may use.
 constexpr double kAnswersShareOfMemory = 0.25;
@@ -206,7 +201,7 @@
   this->dispatcher->DispatchWaitingRequests(now);
   this->links.CheckTime(now);
   this->Sync(now);
-  if (this->stop_began) this->ContinueStop(now);
+  if (this->stop) this->ContinueStop(now);
 }
 
 bool Node::FollowsStore(Instant now) const {
@@ -456,8 +451,7 @@
 }
 
 bool Node::Ready() const {
-  return !this->stop_began && this->configuration &&
-         !this->servers.InUse().empty();
+  return !this->stop && this->configuration && !this->servers.InUse().empty();
 }
 
 void Node::OnReadiness(const net::RequestRef& ref,
@@ -478,33 +472,4 @@
   this->settings.stop_grace = changed.stop_grace;
 }
 
-void Node::Stop(std::function<void()> done) {
-  if (this->stop_began) return;
-  observe::LogInfo(
-      "stopping",
-      {{"open_requests", std::to_string(this->dispatcher->OpenRequests())}});
-  this->stop_began = kernel::Now();
-  this->on_stopped = std::move(done);
-  this->callers->CloseAfterAnswers();
-  for (const auto& [name, service] : this->key_services) {
-    service->Grantor().Resign();
-  }
-}
-
-void Node::ContinueStop(Instant now) {
-  const Duration gone = now - *this->stop_began;
-  if (gone < kLeaveRotation) return;
-  this->callers->StopAccepting();
-  const bool idle =
-      this->callers->Pending() == 0 && this->callers->Connections() == 0;
-  const bool out_of_time = gone >= this->settings.stop_grace - kStopReserve;
-  if (!idle && !out_of_time) return;
-  if (!idle) {
-    observe::LogWarn(
-        "stop_cut_off",
-        {{"open_requests", std::to_string(this->callers->Pending())}});
-  }
-  if (this->on_stopped) std::exchange(this->on_stopped, nullptr)();
-}
-
 }  // namespace chervilmux::node
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -29,6 +29,7 @@
 #include "node/peer_message.h"
 #include "node/server_list.h"
 #include "node/store_readers.h"
+#include "node/succession.h"
 #include "node/table_follower.h"
 #include "observe/metrics.h"
 
@@ -52,7 +53,9 @@
   kernel::Result<void> Open();
 
   /// Begins a graceful stop; `done` is called when nothing is left to finish
-  /// or the grace is nearly over. Call on the task's thread.
+  /// or the grace is nearly over. Requests that may not finish within the grace
+  /// are refused, and those that are out when it ends get a last answer. Call
+  /// on the task's thread.
   void Stop(std::function<void()> done);
 
   /// Takes in settings that changed. Call on the task's thread.
@@ -105,6 +108,15 @@
   bool Ready() const;
   bool FollowsStore(kernel::Instant now) const;
   void ContinueStop(kernel::Instant now);
+  void GiveLastAnswers();
+  void HandOverLeadership(kernel::Instant now);
+  void AskForSuccessor(const std::string& service, Succession& succession,
+                       kernel::Instant now);
+  void SendSuccession(
+      const SuccessionRequest& request, const std::string& instance,
+      std::function<void(const std::optional<SuccessionReply>&)> done);
+  SuccessionReply OnSuccession(const SuccessionRequest& request);
+  bool HasResigned(kernel::Instant now);
   void OnOperatorRequest(const net::RequestRef& ref,
                          const net::HttpRequest& request);
   std::string MetricsText();
@@ -167,7 +179,22 @@
   /// Until when the servers in use are known to have been the right ones.
   kernel::Instant servers_true_until = kernel::kNever;
   kernel::Instant store_trouble_at = kernel::kNever;
-  std::optional<kernel::Instant> stop_began;
+  /// The course of a planned stop, fixed when it begins: a grace that changes
+  /// later doesn't count.
+  struct StopPlan {
+    StopPlan(kernel::Instant begin, kernel::Duration grace);
+
+    kernel::Instant accepts_until;
+    kernel::Instant last_answers_at;
+    kernel::Instant ends_at;
+    bool gave_last_answers = false;
+    std::optional<kernel::Instant> resigns_until;  ///< Set when idle.
+    /// Of the services that this instance leads.
+    std::map<std::string, Succession> successions;
+  };
+  std::optional<StopPlan> stop;
+  /// Services whose last leader left its lease to this instance.
+  std::set<std::string, std::less<>> succeeds;
   std::function<void()> on_stopped;
 };
 
--- a/src/node/node_operators.cc
+++ b/src/node/node_operators.cc
@@ -30,7 +30,7 @@
   NodeStatus status;
   status.self = this->self;
   status.ready = this->Ready();
-  status.stopping = this->stop_began.has_value();
+  status.stopping = this->stop.has_value();
   status.follows_store = this->FollowsStore(now);
   status.knowledge_age = this->readers.KnowledgeAge(now);
   status.open_requests = this->dispatcher->OpenRequests();
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -320,6 +320,13 @@
                 : net::PlainAnswer(400, decoded.error().detail);
     net::CompressFor(request, answer);
     this->peers->Answer(ref, std::move(answer));
+  } else if (request.url == kSuccessionPath) {
+    const auto decoded = DecodeSuccession(request.body);
+    this->peers->Answer(
+        ref, decoded ? net::PlainAnswer(
+                           200, EncodeSuccessionReply(
+                                    this->OnSuccession(decoded.value())))
+                     : net::PlainAnswer(400, decoded.error().detail));
   } else if (request.url == kOwnersPath) {
     this->OnChangedOwners(request.body);
     this->peers->Answer(ref, net::PlainAnswer(200));
--- a/src/policy/server_queue.cc
+++ b/src/policy/server_queue.cc
@@ -12,6 +12,9 @@
 constexpr double kServiceTimeGain = 0.1;
 /// The concurrency limit is multiplied by this when the server sheds a request.
 constexpr double kShedConcurrencyFactor = 0.5;
+/// Without an answer for this long the concurrency limit rises by one: what the
+/// server does with one request, perhaps frozen, must not hold back the others.
+constexpr kernel::Duration kProbePeriod = kernel::milliseconds(500);
 /// A retried request is queued as if its deadline were this much earlier.
 constexpr kernel::Duration kRetriedDeadlineAdvance = kernel::milliseconds(50);
 
@@ -82,7 +85,18 @@
   this->waiting.erase(position);
 }
 
+void ServerQueue::RaiseLimitWithoutAnswers(Instant now) {
+  const bool is_held_back =
+      !this->waiting.empty() &&
+      this->in_flight >= static_cast<unsigned>(this->concurrency_limit);
+  if (!is_held_back || now < this->next_probe_at) return;
+  this->concurrency_limit = std::min(static_cast<double>(this->limits.slots),
+                                     this->concurrency_limit + 1);
+  this->next_probe_at = now + kProbePeriod;
+}
+
 std::optional<std::uint64_t> ServerQueue::PopNext(Instant now) {
+  this->RaiseLimitWithoutAnswers(now);
   if (this->in_flight >= static_cast<unsigned>(this->concurrency_limit))
     return {};
   for (auto it = this->waiting.begin(); it != this->waiting.end(); ++it) {
@@ -94,6 +108,7 @@
     if (key_count >= this->MaxSlotsForKey(request.key_hash)) continue;
     this->EraseWaiting(it);
     this->in_flight += 1;
+    this->next_probe_at = now + kProbePeriod;
     this->in_flight_of_key[request.key_hash] += 1;
     return request.id;
   }
--- a/src/policy/server_queue.h
+++ b/src/policy/server_queue.h
@@ -8,7 +8,8 @@
 /// most half of the concurrency limit while other keys wait, otherwise all but
 /// one slot of it, and always at least one slot, so that a hot key does not
 /// starve the other keys of its server. The concurrency limit starts at one
-/// after a cold start and is reduced when the server sheds a request.
+/// after a cold start, rises with answers and, slowly, while none comes, and is
+/// reduced when the server sheds a request.
 
 #ifndef CHERVILMUX_POLICY_SERVER_QUEUE_H_
 #define CHERVILMUX_POLICY_SERVER_QUEUE_H_
@@ -88,6 +89,7 @@
   using WaitingQueue = std::multimap<kernel::Instant, QueuedRequest>;
 
   kernel::Duration ExpectedWait(kernel::Instant deadline) const;
+  void RaiseLimitWithoutAnswers(kernel::Instant now);
   unsigned MaxSlotsForKey(std::uint64_t key_hash) const;
   bool OtherKeysWaiting(std::uint64_t key_hash) const;
   void FinishRequest(std::uint64_t key_hash);
@@ -95,6 +97,7 @@
 
   QueueLimits limits;
   double concurrency_limit = 1;
+  kernel::Instant next_probe_at = kernel::kNever;
   double service_time_us = 0;  ///< Moving average; 0 before the first answer.
   unsigned in_flight = 0;
   WaitingQueue waiting;
--- a/src/ranges/range_grantor.cc
+++ b/src/ranges/range_grantor.cc
@@ -215,6 +215,13 @@
   }
 }
 
+void RangeGrantor::OnLeaderResigned(Instant now) {
+  this->is_resigning = false;
+  if (this->role != Role::kFollower) return;
+  this->last_leader_contact = kernel::kNever;
+  this->next_read_at = now;
+}
+
 void RangeGrantor::BecomeFollower(Instant now) {
   this->role = Role::kFollower;
   this->pending_write.reset();
--- a/src/ranges/range_grantor.h
+++ b/src/ranges/range_grantor.h
@@ -245,6 +245,9 @@
   /// take over at once. Existing grants stay valid until they expire.
   void Resign() { this->is_resigning = true; }
 
+  /// The leader has freed the lease for this instance, which claims it at once.
+  void OnLeaderResigned(kernel::Instant now);
+
   bool Leads() const { return this->role == Role::kLeader; }
 
   /// Whether this instance leads or has had recent contact with the leader.
--- a/test/correctness/data_path_test.cc
+++ b/test/correctness/data_path_test.cc
@@ -89,6 +89,26 @@
   }
 }
 
+TEST_CASE("requests that have not arrived whole when the process ends") {
+  Front front;
+  Caller half(front.address);
+  half.Send("GET /half HTTP/1.1\r\nHo");
+  Caller idle(front.address);
+  Caller pending(front.address);
+  pending.Send(Get("/1"));
+  front.arrived.get_future().get();
+  front.Do([&] {
+    front.front->CloseAfterAnswers();
+    front.front->StopAccepting();
+    front.front->EndPartialRequests({kernel::ErrorKind::kStopping, "stop"});
+  });
+  CHECK(half.ReadUntil("never").starts_with("HTTP/1.1 503"));
+  CHECK(idle.ReadUntil("never").empty());
+  front.Answer("/1", "one");
+  CHECK(pending.ReadUntil("never").ends_with("one"));
+  CHECK(front.Requests() == 1);
+}
+
 TEST_CASE("a caller that leaves is noticed while its request is pending") {
   Front front;
   Caller caller(front.address);
@@ -182,6 +202,43 @@
 
 // Failure: each burst leaves as many idle connections behind as it had requests
 // at once, and the server runs out of connections for all instances.
+TEST_CASE("transfers that are out when the process ends") {
+  fakes::LoopbackListener listener;
+  Links links;
+  auto first = links.Start(listener.address, "a", false);
+  ServerEnd server(listener);
+  server.ReadRequest();
+  const auto end_all = [&links] {
+    std::promise<void> done;
+    links.task.Post([&] {
+      links.links->EndAll();
+      done.set_value();
+    });
+    done.get_future().get();
+  };
+  WHEN("the server works on") {
+    end_all();
+    THEN("they end as over time, and may have run") {
+      const TransferResult result = first.get();
+      CHECK(result.end == TransferEnd::kTimedOut);
+      CHECK(result.possibly_sent);
+    }
+  }
+  WHEN("the answer has arrived and was not read") {
+    std::promise<void> blocked;
+    links.task.Post([&] { blocked.get_future().get(); });
+    server.Answer("a", "whole");
+    std::this_thread::sleep_for(milliseconds(50));
+    links.task.Post([&links] { links.links->EndAll(); });
+    blocked.set_value();
+    THEN("it counts") {
+      const TransferResult result = first.get();
+      CHECK(result.end == TransferEnd::kComplete);
+      CHECK(result.answer.body == "whole");
+    }
+  }
+}
+
 TEST_CASE("a server keeps only its share of idle connections") {
   fakes::LoopbackListener listener;
   Links links;
--- a/test/correctness/server_queue_test.cc
+++ b/test/correctness/server_queue_test.cc
@@ -102,6 +102,27 @@
     CHECK(queue.PopNext(kNow));
     CHECK(!queue.PopNext(kNow));
   }
+
+  SUBCASE(
+      "a request that a frozen server keeps does not hold back the others") {
+    queue.ResetConcurrency();
+    CHECK(!queue.TryEnqueue(MakeItem(1, 1, 9000), kNow));
+    CHECK(!queue.TryEnqueue(MakeItem(2, 2, 9000), kNow));
+    CHECK(!queue.TryEnqueue(MakeItem(3, 3, 9000), kNow));
+    CHECK(queue.PopNext(kNow));
+    CHECK(!queue.PopNext(kNow + milliseconds(499)));
+    CHECK(queue.PopNext(kNow + milliseconds(500)));
+    SUBCASE("one by one") {
+      CHECK(!queue.PopNext(kNow + milliseconds(999)));
+      CHECK(queue.PopNext(kNow + milliseconds(1000)));
+    }
+    SUBCASE("until the server has its slots filled") {
+      for (std::uint64_t i = 4; i < 9; ++i)
+        CHECK(!queue.TryEnqueue(MakeItem(i, i, 9000), kNow));
+      for (int i = 2; i < 20; ++i) queue.PopNext(kNow + milliseconds(500 * i));
+      CHECK(queue.InFlight() == 4);
+    }
+  }
 }
 
 // Failure: a request that may have run, and must not run twice, is sent again;
