Instances prefer a subset of the servers of services without keys

A pair met so rarely that nearly every request opened a connection and load reports were seconds old.

Change: policy/server_subset places the servers of a failure domain on a ring and gives each instance the eight, or four shares, that follow its place; all compute it from lists that they have. Other servers of the domain cost half a service time more, so that they are chosen where the preferred ones are busy, full or unusable.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -114,6 +114,7 @@
     state = std::make_unique<ServiceState>(this->settings.failure_domain);
     state->budget = this->MakeRetryBudget();
     state->loads.SetInstances(this->instance_count, this->random());
+    state->loads.SetSubsetPosition(this->subset_position);
   }
   return *state;
 }
@@ -160,6 +161,12 @@
   }
 }
 
+void Dispatcher::SetSubsetPosition(const policy::SubsetPosition& position) {
+  this->subset_position = position;
+  for (auto& [name, state] : this->services)
+    state->loads.SetSubsetPosition(position);
+}
+
 double Dispatcher::RelativeSpeed(const std::string& service,
                                  std::string_view id) {
   return this->GetOrCreateServiceState(service).loads.RelativeSpeed(
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -77,6 +77,9 @@
   /// retries.
   void SetInstanceCount(std::size_t count);
 
+  /// Sets the place of this instance among those of its failure domain.
+  void SetSubsetPosition(const policy::SubsetPosition& position);
+
   /// Sets whether the configuration is known to be the newest. Otherwise a path
   /// without a route may belong to a newer configuration, and its request is
   /// refused as kNoManifest instead of kUnknownService.
@@ -182,6 +185,7 @@
   net::HttpFront* front = nullptr;
   DispatcherSettings settings;
   std::size_t instance_count;
+  policy::SubsetPosition subset_position;
   bool config_is_current = false;
   std::optional<kernel::Instant> stop_end;  ///< Set once the stop has begun.
   std::unique_ptr<routing::RouteTable> routes;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -385,8 +385,19 @@
                        {{"name", name}, {"why", decoded.error().detail}});
     }
   }
-  this->dispatcher->SetInstanceCount(instances.size());
   this->readers.SetInstances(std::move(instances));
+  this->TellDispatcherOfInstances();
+}
+
+void Node::TellDispatcherOfInstances() {
+  this->dispatcher->SetInstanceCount(this->readers.Instances().size());
+  policy::SubsetPosition position{0, 0};
+  for (const auto& [name, record] : this->readers.Instances()) {
+    if (record.failure_domain != this->self.failure_domain) continue;
+    position.instances += 1;
+    if (name < this->self.name) position.index += 1;
+  }
+  this->dispatcher->SetSubsetPosition(position);
 }
 
 void Node::OnRanges() {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -69,6 +69,7 @@
   void OnServerRows();
   void UseServers();
   void OnInstances();
+  void TellDispatcherOfInstances();
   void OnRanges();
   void NoteLeaders();
   void UseSeeds();
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -306,7 +306,7 @@
   if (!this->readers.OnHeardFrom(peer)) return;
   observe::LogInfo("instance_heard_from",
                    {{"name", peer.name}, {"address", peer.peer_address}});
-  this->dispatcher->SetInstanceCount(this->readers.Instances().size());
+  this->TellDispatcherOfInstances();
 }
 
 void Node::OnPeerRequest(const net::RequestRef& ref,
--- a/src/policy/server_loads.cc
+++ b/src/policy/server_loads.cc
@@ -89,6 +89,24 @@
   this->delay_seed = new_seed;
 }
 
+void ServerLoads::SetSubsetPosition(const SubsetPosition& position) {
+  if (position == this->subset_position) return;
+  this->subset_position = position;
+  this->UpdateSubsets();
+}
+
+void ServerLoads::UpdateSubsets() {
+  std::map<std::string_view, std::vector<std::string_view>> ids_by_domain;
+  for (auto& [id, server] : this->servers) {
+    server.is_preferred = false;
+    ids_by_domain[server.listed.failure_domain].push_back(id);
+  }
+  for (auto& [domain, ids] : ids_by_domain) {
+    for (const auto id : ServerSubset(std::move(ids), this->subset_position))
+      this->servers.find(id)->second.is_preferred = true;
+  }
+}
+
 void ServerLoads::Update(std::span<const model::BackendServer> listed,
                          Instant unchanged_until, Instant now) {
   std::map<std::string, Server, std::less<>> next;
@@ -110,6 +128,7 @@
     server.listed = entry;
   }
   this->servers = std::move(next);
+  this->UpdateSubsets();
   this->notices.Update(listed, now);
 }
 
@@ -346,8 +365,11 @@
     if (!this->HasCapacity(server, now)) continue;
     const bool is_local =
         server.listed.failure_domain == this->own_failure_domain;
-    (is_local ? usable_servers.local_servers : usable_servers.remote_servers)
-        .push_back(id);
+    auto& preferred = is_local ? usable_servers.preferred_local
+                               : usable_servers.preferred_remote;
+    auto& other =
+        is_local ? usable_servers.other_local : usable_servers.other_remote;
+    (server.is_preferred ? preferred : other).push_back(id);
   }
   return usable_servers;
 }
@@ -359,9 +381,9 @@
     const double expected = this->ExpectedLatency(server, now);
     const bool is_remote =
         server.listed.failure_domain != this->own_failure_domain;
-    return is_remote ? expected + this->tuning.cross_domain_penalty *
-                                      this->ServiceTime(server, now)
-                     : expected;
+    double penalty = is_remote ? this->tuning.cross_domain_penalty : 0;
+    if (!server.is_preferred) penalty += this->tuning.not_preferred_penalty;
+    return expected + penalty * this->ServiceTime(server, now);
   };
   return *std::ranges::min_element(ids, {}, cost);
 }
--- a/src/policy/server_loads.h
+++ b/src/policy/server_loads.h
@@ -6,7 +6,8 @@
 /// some of their requests, shed load or do not answer. Instances do not
 /// exchange load data: each one estimates a server's load from its own requests
 /// in flight, from the load that the server reported in its last answer, and
-/// from the latency of answers.
+/// from the latency of answers. It prefers a subset of the servers, of which it
+/// hears often.
 
 #ifndef CHERVILMUX_POLICY_SERVER_LOADS_H_
 #define CHERVILMUX_POLICY_SERVER_LOADS_H_
@@ -24,6 +25,7 @@
 #include "model/backend_server.h"
 #include "net/address.h"
 #include "policy/server_notices.h"
+#include "policy/server_subset.h"
 
 namespace chervilmux::policy {
 
@@ -97,6 +99,9 @@
   /// Latency objectives are about three service times, so a request is sent to
   /// another domain only if it would be late in its own.
   double cross_domain_penalty = 2.5;
+  /// The same for a server of the own domain that this instance does not
+  /// prefer: it takes a new connection, and its load is hardly known.
+  double not_preferred_penalty = 0.5;
   /// Ejection time after one failure; it doubles with each further failure in a
   /// row, up to `max_ejection_time`.
   kernel::Duration base_ejection_time = kernel::milliseconds(600);
@@ -120,6 +125,10 @@
   /// where among them this one returns to a server after its back-off.
   void SetInstances(std::size_t count, std::uint64_t delay_seed);
 
+  /// Sets the place of this instance among those of its failure domain, which
+  /// decides the servers that it prefers.
+  void SetSubsetPosition(const SubsetPosition& position);
+
   /// Replaces the list of the service's servers. The previous list is known to
   /// have been valid until `unchanged_until`; kNever when that is unknown.
   void Update(std::span<const model::BackendServer> servers,
@@ -135,17 +144,22 @@
     UsableServerIds usable_servers = this->UsableServers(tried_servers, now);
     // The choice is among a few random candidates: instances that share the
     // same stale load reports would otherwise all choose the same server.
-    constexpr std::size_t kLocalCandidateCount = 3;
-    constexpr std::size_t kRemoteCandidateCount = 2;
-    KeepRandomSample(usable_servers.local_servers, kLocalCandidateCount,
-                     random);
-    KeepRandomSample(usable_servers.remote_servers, kRemoteCandidateCount,
-                     random);
-    usable_servers.local_servers.insert(usable_servers.local_servers.end(),
-                                        usable_servers.remote_servers.begin(),
-                                        usable_servers.remote_servers.end());
-    if (usable_servers.local_servers.empty()) return std::nullopt;
-    return this->MinCostServer(usable_servers.local_servers, now);
+    constexpr std::size_t kPreferredCandidateCount = 3;
+    constexpr std::size_t kOtherCandidateCount = 2;
+    std::vector<std::string> candidates;
+    const auto add_sample = [&](std::vector<std::string>& ids,
+                                std::size_t count) {
+      KeepRandomSample(ids, count, random);
+      candidates.insert(candidates.end(), ids.begin(), ids.end());
+    };
+    add_sample(usable_servers.preferred_local, kPreferredCandidateCount);
+    add_sample(usable_servers.other_local, kOtherCandidateCount);
+    const bool has_preferred = !usable_servers.preferred_remote.empty();
+    add_sample(has_preferred ? usable_servers.preferred_remote
+                             : usable_servers.other_remote,
+               kOtherCandidateCount);
+    if (candidates.empty()) return std::nullopt;
+    return this->MinCostServer(candidates, now);
   }
 
   /// Whether the owner `id` of a key can accept another request, in its slots
@@ -252,6 +266,7 @@
     unsigned consecutive_failures = 0;
     kernel::Instant ejected_until = kernel::kNever;
     kernel::Instant warm_up_until = kernel::kNever;
+    bool is_preferred = true;  ///< In this instance's subset of its domain.
     /// The earliest possible start of draining; kNever while draining means
     /// that the start is unknown.
     kernel::Instant draining_since = kernel::kNever;
@@ -260,10 +275,15 @@
   /// Ids of the servers that can accept a request: those in this instance's
   /// failure domain, and those in others.
   struct UsableServerIds {
-    std::vector<std::string> local_servers;
-    std::vector<std::string> remote_servers;
+    std::vector<std::string> preferred_local;
+    std::vector<std::string> other_local;
+    std::vector<std::string> preferred_remote;
+    std::vector<std::string> other_remote;
   };
 
+  /// Marks the servers that this instance prefers in each failure domain.
+  void UpdateSubsets();
+
   template <typename Random>
   static void KeepRandomSample(std::vector<std::string>& ids, std::size_t count,
                                Random&& random) {
@@ -315,6 +335,7 @@
   ServerNotices notices;
   std::size_t instance_count = 1;
   std::uint64_t delay_seed = 0;
+  SubsetPosition subset_position;
   double mean_service_time_s = 0;  ///< Over all servers.
   /// Mean of `other_instances_load` per slot, over all servers.
   double mean_other_load_per_slot = 0;
