--- a/src/policy/server_queue.cc
+++ b/src/policy/server_queue.cc
@@ -85,18 +85,18 @@
   this->waiting.erase(position);
 }
 
-void ServerQueue::RaiseLimitWithoutAnswers(Instant now) {
-  const bool is_held_back =
-      !this->waiting.empty() &&
-      this->in_flight >= static_cast<unsigned>(this->concurrency_limit);
-  if (!is_held_back || now < this->next_probe_at) return;
+std::optional<std::uint64_t> ServerQueue::PopNext(Instant now) {
+  auto next = this->PopAllowed(now);
+  const bool is_held_back = !next && !this->waiting.empty() &&
+                            this->concurrency_limit < this->limits.slots;
+  if (!is_held_back || now < this->next_probe_at) return next;
   this->concurrency_limit = std::min(static_cast<double>(this->limits.slots),
                                      this->concurrency_limit + 1);
   this->next_probe_at = now + kProbePeriod;
+  return this->PopAllowed(now);
 }
 
-std::optional<std::uint64_t> ServerQueue::PopNext(Instant now) {
-  this->RaiseLimitWithoutAnswers(now);
+std::optional<std::uint64_t> ServerQueue::PopAllowed(Instant now) {
   if (this->in_flight >= static_cast<unsigned>(this->concurrency_limit))
     return {};
   for (auto it = this->waiting.begin(); it != this->waiting.end(); ++it) {
--- a/src/policy/server_queue.h
+++ b/src/policy/server_queue.h
@@ -89,7 +89,8 @@
   using WaitingQueue = std::multimap<kernel::Instant, QueuedRequest>;
 
   kernel::Duration ExpectedWait(kernel::Instant deadline) const;
-  void RaiseLimitWithoutAnswers(kernel::Instant now);
+  /// As PopNext(), under the concurrency limit as it is.
+  std::optional<std::uint64_t> PopAllowed(kernel::Instant now);
   unsigned MaxSlotsForKey(std::uint64_t key_hash) const;
   bool OtherKeysWaiting(std::uint64_t key_hash) const;
   void FinishRequest(std::uint64_t key_hash);
--- a/test/correctness/server_queue_test.cc
+++ b/test/correctness/server_queue_test.cc
@@ -116,6 +116,17 @@
       CHECK(!queue.PopNext(kNow + milliseconds(999)));
       CHECK(queue.PopNext(kNow + milliseconds(1000)));
     }
+    SUBCASE("of the same key either") {
+      CHECK(queue.PopNext(kNow + milliseconds(1000)));
+      queue.OnFailed(2);
+      queue.OnFailed(3);
+      // Now the limit is three, of which one key may use two.
+      CHECK(!queue.TryEnqueue(MakeItem(4, 1, 9000), kNow));
+      CHECK(!queue.TryEnqueue(MakeItem(5, 1, 9000), kNow));
+      CHECK(queue.PopNext(kNow + milliseconds(1000)));
+      CHECK(!queue.PopNext(kNow + milliseconds(1499)));
+      CHECK(queue.PopNext(kNow + milliseconds(1500)));
+    }
     SUBCASE("until the server has its slots filled") {
       for (std::uint64_t i = 4; i < 9; ++i)
         CHECK(!queue.TryEnqueue(MakeItem(i, i, 9000), kNow));
