Full servers that leave requests unanswered are told from lost ones; fewer calls at the start

A server that hangs when it is full answers what it has queued meanwhile. Its timeouts counted as failures, so that the owner of keys was ejected and everything for its keys refused. Now one that answered another request since counts as full and is left alone for a while; chervilmux_server_timeouts_total tells both apart.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -149,6 +149,8 @@
   void RecordAnswered(const Job& job, unsigned status, kernel::Instant now);
   void OnFailedTransfer(Job& job, const net::TransferResult& result,
                         kernel::Instant now);
+  /// Counts a request without an answer, by whether its server answers others.
+  void CountTimeout(const Job& job);
   void RecordCompletion(Job& job, policy::AttemptOutcome end,
                         const std::optional<policy::ReportedLoad>& load,
                         kernel::Instant now);
--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -294,6 +294,7 @@
       job.failed_connects += 1;
       break;
     case TransferEnd::kTimedOut:
+      this->CountTimeout(job);
       kind = this->stop_end && now >= *this->stop_end
                  ? ErrorKind::kStopCutOff
                  : ErrorKind::kServerSilent;
@@ -327,6 +328,17 @@
                kNotReadyRetryAfter);
 }
 
+void Dispatcher::CountTimeout(const Job& job) {
+  const policy::ServerLoads& loads =
+      this->GetOrCreateServiceState(job.service).loads;
+  const bool is_alive = loads.HasAnsweredSince(job.server_id, job.sent_at);
+  this->metrics
+      .Count("chervilmux_server_timeouts_total",
+             observe::Label("service", job.service) + "," +
+                 observe::Label("server", is_alive ? "answers" : "silent"))
+      .Add();
+}
+
 bool Dispatcher::RetryIfAllowed(Job& job, ErrorKind failure, Instant now) {
   ServiceState& state = this->GetOrCreateServiceState(job.service);
   const bool never_sent = failure == ErrorKind::kServerConnect;
--- a/src/node/store_readers.cc
+++ b/src/node/store_readers.cc
@@ -70,9 +70,13 @@
 }
 
 bool StoreReaders::Follows(Instant now) const {
+  if (this->KnowledgeIsOld(now)) return true;
   const auto* reader = this->ReaderOf(this->self.failure_domain, now);
-  return reader == nullptr || reader->name == this->self.name ||
-         this->KnowledgeIsOld(now);
+  if (reader != nullptr) return reader->name == this->self.name;
+  // Nobody is known yet, as when all instances start together: the others ask
+  // the seeds.
+  return std::ranges::find(this->seeds, this->self.peer_address) !=
+         this->seeds.end();
 }
 
 std::vector<std::string> StoreReaders::Sources(Instant now,
--- a/src/policy/server_loads.cc
+++ b/src/policy/server_loads.cc
@@ -54,6 +54,13 @@
   return std::uniform_real_distribution<double>(0, 1)(random);
 }
 
+/// Whether an attempt that ended like this got an answer of its server.
+bool IsAnswer(AttemptOutcome end) {
+  return end == AttemptOutcome::kServed ||
+         end == AttemptOutcome::kServerError || end == AttemptOutcome::kShed ||
+         end == AttemptOutcome::kBackOff;
+}
+
 }  // namespace
 
 std::string_view NameOf(AttemptOutcome outcome) {
@@ -242,6 +249,11 @@
   return estimate;
 }
 
+bool ServerLoads::HasAnsweredSince(std::string_view id, Instant since) const {
+  const auto found = this->servers.find(id);
+  return found != this->servers.end() && found->second.last_answered_at > since;
+}
+
 bool ServerLoads::IsEjected(std::string_view id, Instant now) const {
   const auto found = this->servers.find(id);
   return found != this->servers.end() && now < found->second.ejected_until;
@@ -426,6 +438,8 @@
           std::max(server.full_until, now + FromSeconds(drain_time));
     }
   }
+  const bool answered_meanwhile = server.last_answered_at > now - latency;
+  if (IsAnswer(end)) server.last_answered_at = now;
   switch (end) {
     case AttemptOutcome::kServed: {
       const double service_time = ToSeconds(latency) / oversubscription;
@@ -464,9 +478,18 @@
       this->RecordFailure(server, now);
       this->Eject(server, now);
       break;
+    case AttemptOutcome::kTimedOut:
+      // A full server may leave unanswered what it cannot queue.
+      if (answered_meanwhile) {
+        server.last_failed_at = now;
+        server.failure_share += kFailureGain * (1 - server.failure_share);
+        this->BackOff(server, now);
+      } else {
+        this->RecordFailure(server, now);
+      }
+      break;
     case AttemptOutcome::kServerError:
     case AttemptOutcome::kBroken:
-    case AttemptOutcome::kTimedOut:
       this->RecordFailure(server, now);
       break;
     case AttemptOutcome::kBackOff:
--- a/src/policy/server_loads.h
+++ b/src/policy/server_loads.h
@@ -176,6 +176,10 @@
   std::optional<LoadEstimate> EstimateLoad(std::string_view id,
                                            kernel::Instant now) const;
 
+  /// Whether `id` has answered any request since `since`. One that has and
+  /// leaves another unanswered is full or slow, not lost.
+  bool HasAnsweredSince(std::string_view id, kernel::Instant since) const;
+
   /// Whether `id` is ejected after failures.
   bool IsEjected(std::string_view id, kernel::Instant now) const;
 
@@ -264,6 +268,7 @@
     double failure_share = 0;             ///< Moving average over attempts.
     kernel::Instant last_failed_at = kernel::kNever;
     unsigned consecutive_failures = 0;
+    kernel::Instant last_answered_at = kernel::kNever;
     kernel::Instant ejected_until = kernel::kNever;
     kernel::Instant warm_up_until = kernel::kNever;
     bool is_preferred = true;  ///< In this instance's subset of its domain.
--- a/test/correctness/server_loads_test.cc
+++ b/test/correctness/server_loads_test.cc
@@ -192,6 +192,37 @@
     CHECK(service.loads.IsEjected("n1", service.now));
     CHECK_FALSE(service.loads.IsEjected("n1", service.now + seconds(5)));
   }
+  SUBCASE("a full server that leaves requests unanswered is not ejected") {
+    // It answers what it has queued meanwhile.
+    for (int i = 0; i < 20; ++i) {
+      service.loads.OnSent("n1");
+      service.loads.OnSent("n1");
+      service.now += milliseconds(300);
+      service.loads.OnCompletion("n1", AttemptOutcome::kServed,
+                                 milliseconds(300), std::nullopt, service.now);
+      service.now += milliseconds(100);
+      service.loads.OnCompletion("n1", AttemptOutcome::kTimedOut,
+                                 milliseconds(400), std::nullopt, service.now);
+    }
+    CHECK_FALSE(service.loads.IsEjected("n1", service.now));
+    CHECK(service.loads.HasAnsweredSince("n1", service.now - seconds(1)));
+    SUBCASE("as the owner of keys it is left alone for a while") {
+      CHECK(service.loads.FullFor("n1", service.now).count() > 0);
+      CHECK_FALSE(service.loads.HasCapacity("n1", service.now));
+    }
+    SUBCASE("until it answers nothing at all") {
+      for (int i = 0; i < 3; ++i) {
+        service.now += milliseconds(400);
+        service.loads.OnSent("n1");
+        service.loads.OnCompletion("n1", AttemptOutcome::kTimedOut,
+                                   milliseconds(400), std::nullopt,
+                                   service.now);
+      }
+      CHECK(service.loads.IsEjected("n1", service.now));
+      CHECK_FALSE(
+          service.loads.HasAnsweredSince("n1", service.now - seconds(1)));
+    }
+  }
   SUBCASE("at most half of the servers are ejected") {
     for (const auto& server : service.servers) {
       service.loads.OnSent(server.id);
--- a/test/correctness/store_readers_test.cc
+++ b/test/correctness/store_readers_test.cc
@@ -112,6 +112,18 @@
     fleet.Run(20);
     CHECK(fleet.following.contains("b1"));
   }
+  SUBCASE("of instances that start together, seeds alone follow the store") {
+    StoreReaders seed(InstanceRecord{"x", 1, "a", "x"});
+    StoreReaders other(InstanceRecord{"y", 1, "a", "y"});
+    for (auto* reader : {&seed, &other}) {
+      reader->SetSeeds({"x"});
+      CHECK(reader->Follows(fleet.now));
+      reader->OnStoreAnswered(fleet.now);
+    }
+    CHECK(seed.Follows(fleet.now + milliseconds(100)));
+    CHECK_FALSE(other.Follows(fleet.now + milliseconds(100)));
+    CHECK(other.Follows(fleet.now + milliseconds(1600)));
+  }
   SUBCASE("an instance that knows nobody follows the store") {
     const StoreReaders alone(InstanceRecord{"x", 1, "a", "x"});
     CHECK(alone.Follows(fleet.now));
