Leaders hear from readers, not from every instance, where instances are many

Each instance asked the leader of each keyed service twice a second, across failure domains, and got the whole view of owners whenever a change was on its way: as read, that is what the bytes between domains hold beside the keyed answers, and the load that grows with the fleet at one instance.

From 40 instances on an instance hears of the leader, and reports the load of keys, through the reader of its own failure domain; with no news for a while it asks the leader itself. A whole view goes only to who missed a change that all should have heard, or has nothing to which changes apply. The reader is the leader or one with the most processor time, not the first by name.

--- a/src/node/key_service.cc
+++ b/src/node/key_service.cc
@@ -83,8 +83,7 @@
   if (actions.publish) {
     const auto delta =
         ranges::DiffTables(this->owners, this->grantor.PublishedTable());
-    this->owners = this->grantor.PublishedTable();
-    this->events.on_owners(this->owners);
+    this->SetOwners(this->grantor.PublishedTable());
     this->events.on_publish(delta);
   }
 }
@@ -161,7 +160,12 @@
     this->grantor.OnLeaderContact(view, kernel::Now());
   }
   if (!newer || this->grantor.Leads()) return;
-  this->owners = view;
+  this->SetOwners(view);
+}
+
+void KeyService::SetOwners(const ranges::RangeTable& table) {
+  this->owners = table;
+  this->history.Add({table.term, table.sequence}, kernel::Now());
   this->events.on_owners(this->owners);
 }
 
@@ -169,9 +173,10 @@
   const auto version = std::pair(delta.term, delta.sequence);
   const auto known = std::pair(this->owners.term, this->owners.sequence);
   if (this->grantor.Leads() || version <= known) return true;
-  if (!ranges::ApplyDelta(delta, this->owners)) return false;
+  ranges::RangeTable changed = this->owners;
+  if (!ranges::ApplyDelta(delta, changed)) return false;
+  this->SetOwners(changed);
   this->OnLeaderAlive();
-  this->events.on_owners(this->owners);
   return true;
 }
 
--- a/src/node/key_service.h
+++ b/src/node/key_service.h
@@ -19,6 +19,7 @@
 #include "net/server_links.h"
 #include "node/formats.h"
 #include "node/notice_outbox.h"
+#include "node/view_history.h"
 #include "observe/metrics.h"
 #include "policy/server_notices.h"
 #include "ranges/load_map.h"
@@ -70,6 +71,10 @@
   void OnLeaderAlive();
 
   const ranges::RangeTable& Owners() const { return this->owners; }
+  /// The version of Owners() that all instances should have heard by now.
+  ViewVersion HeardByAll(kernel::Instant now) {
+    return this->history.HeardByAll(now);
+  }
   ranges::LoadCounter& Sketch() { return this->sketch; }
   ranges::RangeGrantor& Grantor() { return this->grantor; }
   bool Leads() const { return this->grantor.Leads(); }
@@ -93,6 +98,7 @@
   /// heard.
   std::optional<ranges::RangeTable> TableBeforeEra(
       const store::RowsReply& tables, std::uint64_t era) const;
+  void SetOwners(const ranges::RangeTable& table);
   void LogLeadership();
   void LogEra();
   void LogLapse(const ranges::ExpiryNotice& notice, kernel::Instant now);
@@ -108,6 +114,7 @@
   ranges::LoadCounter sketch;
   NoticeOutbox notices;
   ranges::RangeTable owners;
+  ViewHistory history;  ///< Of `owners`.
   bool led = false;
   std::uint64_t logged_era = 0;
   std::uint64_t cleaned_era = 0;  ///< The last for which old rows were removed.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -38,6 +38,7 @@
   record.name = settings.name;
   record.failure_domain = settings.failure_domain;
   record.peer_address = settings.peer_address.ToString();
+  record.processor_share = settings.processor_share;
   return record;
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -161,6 +161,8 @@
   std::uint64_t servers_era = 0;  ///< Of the rows behind `servers`.
   std::map<std::string, std::unique_ptr<KeyService>, std::less<>> key_services;
   std::set<std::string, std::less<>> syncing;  ///< Addresses being asked.
+  /// Services of which a change of owners did not apply to the view here.
+  std::set<std::string, std::less<>> lacks_changes;
   /// Instances that did not take a change of owners, and until when they get
   /// none.
   std::map<std::string, kernel::Instant, std::less<>> unreachable_until;
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -61,7 +61,10 @@
 std::set<std::string> Node::SyncTargets(Instant now) {
   std::set<std::string> targets;
   const InstancesByName& instances = this->readers.Instances();
+  const bool through_reader = !this->readers.LeaderSource(now).empty();
   for (const auto& [name, service] : this->key_services) {
+    // A reader that has heard nothing of the leader for a while may be cut off.
+    if (through_reader && service->Grantor().HasLeaderContact(now)) continue;
     const auto leader = instances.find(service->Owners().leader);
     if (leader == instances.end()) continue;
     targets.insert(leader->second.peer_address);
@@ -138,10 +141,14 @@
   }
   request.configuration_version =
       this->configuration ? this->configuration->version : 0;
+  const bool to_reader = this->readers.LeaderSource(kernel::Now()) == address;
   for (const auto& [name, service] : this->key_services) {
     const auto& owners = service->Owners();
     request.view_versions[name] = {owners.term, owners.sequence};
-    const bool to_leader = this->LeaderAddress(*service) == address;
+    if (this->lacks_changes.erase(name) > 0)
+      request.view_versions[name] = ViewVersion();
+    const bool to_leader =
+        to_reader || this->LeaderAddress(*service) == address;
     if (to_leader) request.key_load[name] = service->Sketch().TakeCounts();
   }
   const NoticesByService told = this->NoticesFor(address);
@@ -214,6 +221,12 @@
         std::ranges::find(reply.leads, view.service) != reply.leads.end();
     service->second->OnView(view, from_leader);
   }
+  for (const auto& [name, age_ms] : reply.leader_heard_ms_ago) {
+    const auto service = this->key_services.find(name);
+    if (service != this->key_services.end())
+      service->second->Grantor().OnLeaderHeardOf(sent_at -
+                                                 milliseconds(age_ms));
+  }
   for (const auto& name : reply.leads) {
     const auto service = this->key_services.find(name);
     if (service != this->key_services.end()) service->second->OnLeaderAlive();
@@ -273,10 +286,18 @@
   }
   this->AddWhatTheStoreLost(request, reply);
   for (const auto& [name, service] : this->key_services) {
-    if (service->Grantor().MayChangeOwners(now)) reply.leads.push_back(name);
+    const bool leads = service->Grantor().MayChangeOwners(now);
+    const Instant leader_heard = service->Grantor().LastLeaderContact();
+    if (leads) {
+      reply.leads.push_back(name);
+    } else if (!service->Leads() && leader_heard != kernel::kNever) {
+      reply.leader_heard_ms_ago[name] = kernel::ToMs(now - leader_heard);
+    }
     const auto load = request.key_load.find(name);
-    if (load != request.key_load.end()) {
+    if (load != request.key_load.end() && service->Leads()) {
       service->Grantor().OnLoadReport(load->second);
+    } else if (load != request.key_load.end()) {
+      service->Sketch().Add(load->second);
     }
     const auto notices = request.notices.find(name);
     if (notices != request.notices.end()) {
@@ -287,10 +308,14 @@
     const auto known = request.view_versions.find(name);
     const ViewVersion since =
         known == request.view_versions.end() ? ViewVersion() : known->second;
-    const auto& owners = service->Owners();
-    if (ViewVersion(owners.term, owners.sequence) > since) {
-      reply.views.push_back(owners);
-    }
+    // Changes of one term reach all in the tree; only who missed one, or has
+    // nothing to which they apply, needs the whole view.
+    const ViewVersion current(service->Owners().term,
+                              service->Owners().sequence);
+    const bool missed_changes =
+        since.first != current.first || service->HeardByAll(now) > since;
+    if (current > since && missed_changes)
+      reply.views.push_back(service->Owners());
   }
   if (const auto age = this->readers.KnowledgeAge(now)) {
     reply.knowledge_age_ms = kernel::ToMs(*age);
@@ -383,6 +408,7 @@
   const auto service = this->key_services.find(change.value().service);
   if (service == this->key_services.end()) return;
   if (service->second->OnDelta(change.value())) return;
+  this->lacks_changes.insert(change.value().service);
   const auto leader = this->readers.Instances().find(change.value().leader);
   if (leader != this->readers.Instances().end()) {
     this->SendSync(leader->second.peer_address);
--- a/src/node/peer_message.cc
+++ b/src/node/peer_message.cc
@@ -18,6 +18,9 @@
     record.life = kernel::UintOr(json, "life");
     record.failure_domain = kernel::StringOr(json, "failure_domain");
     record.peer_address = kernel::StringOr(json, "peer_address");
+    const Json::Value& share = json["processor_share"];
+    if (share.isNumeric() && share.asDouble() > 0)
+      record.processor_share = share.asDouble();
   }
   if (record.name.empty() || record.peer_address.empty()) {
     return kernel::Fail(kernel::ErrorKind::kMessageMalformed,
@@ -154,6 +157,7 @@
   json["life"] = Json::UInt64(record.life);
   json["failure_domain"] = record.failure_domain;
   json["peer_address"] = record.peer_address;
+  json["processor_share"] = record.processor_share;
   return json;
 }
 
@@ -259,6 +263,8 @@
     json["departures"].append(ToJson(departure));
   }
   for (const auto& service : reply.leads) json["leads"].append(service);
+  for (const auto& [service, age_ms] : reply.leader_heard_ms_ago)
+    json["leader_heard_ms_ago"][service] = Json::Int64(age_ms);
   json["store_trouble_ms_ago"] = Json::Int64(reply.store_trouble_ms_ago);
   json["knowledge_age_ms"] = Json::Int64(reply.knowledge_age_ms);
   json["knowledge_era"] = Json::UInt64(reply.knowledge_era);
@@ -296,6 +302,13 @@
   for (const auto& service : json["leads"]) {
     if (service.isString()) reply.leads.push_back(service.asString());
   }
+  const Json::Value& heard = json["leader_heard_ms_ago"];
+  if (heard.isObject()) {
+    for (const auto& service : heard.getMemberNames()) {
+      const std::int64_t age_ms = MsFrom(heard[service]);
+      if (age_ms >= 0) reply.leader_heard_ms_ago[service] = age_ms;
+    }
+  }
   reply.store_trouble_ms_ago = MsFrom(json["store_trouble_ms_ago"]);
   reply.knowledge_age_ms = MsFrom(json["knowledge_age_ms"]);
   reply.knowledge_era = kernel::UintOr(json, "knowledge_era");
--- a/src/node/peer_message.h
+++ b/src/node/peer_message.h
@@ -34,6 +34,7 @@
   std::uint64_t life = 0;  ///< Rises with each start of this name.
   std::string failure_domain;
   std::string peer_address;
+  double processor_share = 0;  ///< In cores; 0 when an older build tells none.
   bool operator==(const InstanceRecord&) const = default;
 };
 
@@ -89,6 +90,9 @@
   std::string configuration;
   std::vector<Departure> departures;
   std::vector<std::string> leads;  ///< Services whose owners it grants.
+  /// Time since the sender last heard of a working leader, by service, where
+  /// another instance leads.
+  std::map<std::string, std::int64_t> leader_heard_ms_ago;
   /// How old the sender's knowledge of the store's tables may be; negative:
   /// unknown.
   std::int64_t knowledge_age_ms = -1;
--- a/src/node/store_readers.cc
+++ b/src/node/store_readers.cc
@@ -16,6 +16,9 @@
 /// in force after 2 s; a reader's knowledge is up to 0.7 s old when it is
 /// asked, and it is asked every 0.5 s.
 constexpr Duration kOldKnowledge = milliseconds(1500);
+/// From so many instances on they hear of leaders through readers: fewer load a
+/// leader little, and hear of its loss sooner.
+constexpr std::size_t kManyInstances = 40;
 /// A peer that did not answer is passed over for this long.
 constexpr Duration kSilentTime = milliseconds(3000);
 
@@ -56,17 +59,34 @@
   return !age || *age > kOldKnowledge;
 }
 
-/// A leader, else the first instance by name, of those that answer.
+/// A leader, else one of those with the most processor time, which a reader
+/// needs for the others' questions; the first by name of equal ones.
+bool StoreReaders::ReadsRather(const InstanceRecord& record,
+                               const InstanceRecord& other) const {
+  const bool leads = this->leaders.contains(record.name);
+  if (leads != this->leaders.contains(other.name)) return leads;
+  if (record.processor_share != other.processor_share)
+    return record.processor_share > other.processor_share;
+  return record.name < other.name;
+}
+
 const InstanceRecord* StoreReaders::ReaderOf(std::string_view failure_domain,
                                              Instant now) const {
-  const InstanceRecord* first = nullptr;
+  const InstanceRecord* reader = nullptr;
   for (const auto& [name, record] : this->instances) {
     if (record.failure_domain != failure_domain) continue;
     if (this->IsSilent(record, now)) continue;
-    if (this->leaders.contains(name)) return &record;
-    if (first == nullptr) first = &record;
+    if (reader == nullptr || this->ReadsRather(record, *reader))
+      reader = &record;
   }
-  return first;
+  return reader;
+}
+
+std::string StoreReaders::LeaderSource(Instant now) const {
+  if (this->instances.size() < kManyInstances) return {};
+  const auto* reader = this->ReaderOf(this->self.failure_domain, now);
+  const bool asks = reader != nullptr && reader->name != this->self.name;
+  return asks ? reader->peer_address : std::string();
 }
 
 bool StoreReaders::Follows(Instant now) const {
--- a/src/node/store_readers.h
+++ b/src/node/store_readers.h
@@ -64,6 +64,11 @@
   /// Time since then.
   std::optional<kernel::Duration> KnowledgeAge(kernel::Instant now) const;
 
+  /// The address of the instance from which this one hears of the leaders, so
+  /// that a leader does not hear from all. Empty when it asks them itself: it
+  /// reads for its failure domain, or instances are few.
+  std::string LeaderSource(kernel::Instant now) const;
+
   /// Whether this instance should follow the store.
   bool Follows(kernel::Instant now) const;
 
@@ -78,6 +83,9 @@
  private:
   const InstanceRecord* ReaderOf(std::string_view failure_domain,
                                  kernel::Instant now) const;
+  /// Whether `record` reads for its failure domain rather than `other`.
+  bool ReadsRather(const InstanceRecord& record,
+                   const InstanceRecord& other) const;
   bool IsSilent(const InstanceRecord& record, kernel::Instant now) const;
   bool KnowledgeIsOld(kernel::Instant now) const;
 
--- a/src/policy/server_subset.cc
+++ b/src/policy/server_subset.cc
@@ -28,7 +28,8 @@
   if (size >= servers) return ids;
   std::ranges::sort(ids, {}, HashOf);
   const std::size_t first = position.index % instances * servers / instances;
-  std::ranges::rotate(ids, ids.begin() + static_cast<std::ptrdiff_t>(first));
+  std::rotate(ids.begin(), ids.begin() + static_cast<std::ptrdiff_t>(first),
+              ids.end());
   ids.resize(size);
   return ids;
 }
--- a/src/ranges/load_map.cc
+++ b/src/ranges/load_map.cc
@@ -15,11 +15,19 @@
 }  // namespace
 
 void LoadCounter::CountRequest(Key key) {
-  const std::size_t bucket = key / kKeysPerBucket;
-  if (this->counts[bucket] == 0) {
-    this->used_buckets.push_back(static_cast<std::uint16_t>(bucket));
+  this->Count(static_cast<std::uint16_t>(key / kKeysPerBucket), 1);
+}
+
+void LoadCounter::Add(std::span<const BucketCount> reported) {
+  for (const auto& count : reported) {
+    if (count.bucket < kBucketCount && count.requests > 0)
+      this->Count(count.bucket, count.requests);
   }
-  this->counts[bucket] += 1;
+}
+
+void LoadCounter::Count(std::uint16_t bucket, std::uint32_t requests) {
+  if (this->counts[bucket] == 0) this->used_buckets.push_back(bucket);
+  this->counts[bucket] += requests;
 }
 
 std::vector<BucketCount> LoadCounter::TakeCounts() {
--- a/src/ranges/load_map.h
+++ b/src/ranges/load_map.h
@@ -35,10 +35,15 @@
  public:
   void CountRequest(Key key);
 
+  /// Adds counts that another instance reported, to be reported on.
+  void Add(std::span<const BucketCount> reported);
+
   /// Returns the non-zero counts since the last call and resets them.
   std::vector<BucketCount> TakeCounts();
 
  private:
+  void Count(std::uint16_t bucket, std::uint32_t requests);
+
   std::array<std::uint32_t, kBucketCount> counts{};
   std::vector<std::uint16_t> used_buckets;
 };
--- a/src/ranges/range_grantor.cc
+++ b/src/ranges/range_grantor.cc
@@ -211,10 +211,18 @@
   }
   if (this->role == Role::kFollower) {
     this->last_leader_contact = now;
+    this->is_contact_hearsay = false;
     this->table.term = std::max(this->table.term, newer.term);
   }
 }
 
+void RangeGrantor::OnLeaderHeardOf(Instant heard_at) {
+  if (this->role != Role::kFollower || heard_at <= this->last_leader_contact)
+    return;
+  this->last_leader_contact = heard_at;
+  this->is_contact_hearsay = true;
+}
+
 void RangeGrantor::OnLeaderResigned(Instant now) {
   this->is_resigning = false;
   if (this->role != Role::kFollower) return;
@@ -236,9 +244,11 @@
 
 bool RangeGrantor::HasLeaderContact(Instant now) const {
   if (this->Leads()) return true;
+  const Duration suspect_after = this->is_contact_hearsay
+                                     ? this->timing.suspect_after_hearsay
+                                     : this->timing.suspect_after;
   return this->last_leader_contact != kernel::kNever &&
-         now - this->last_leader_contact <
-             this->timing.suspect_after + this->claim_jitter;
+         now - this->last_leader_contact < suspect_after + this->claim_jitter;
 }
 
 GrantorActions RangeGrantor::Tick(Instant now) {
--- a/src/ranges/range_grantor.h
+++ b/src/ranges/range_grantor.h
@@ -80,6 +80,8 @@
   /// A follower reads the lease after this time without contact with the
   /// leader.
   kernel::Duration suspect_after = kernel::milliseconds(900);
+  /// The same where it hears of the leader through another instance.
+  kernel::Duration suspect_after_hearsay = kernel::milliseconds(1500);
   /// Changes of owners within this time are sent to the instances together.
   kernel::Duration publish_period = kernel::milliseconds(40);
   kernel::Duration plan_period = kernel::milliseconds(100);
@@ -239,6 +241,16 @@
   /// Another instance that leads with `table` has just been in contact.
   void OnLeaderContact(const RangeTable& table, kernel::Instant now);
 
+  /// Another instance heard of a working leader at `heard_at`. While this is
+  /// the newest contact, the leader is suspected later.
+  void OnLeaderHeardOf(kernel::Instant heard_at);
+
+  /// When this instance last heard of a working leader other than itself;
+  /// kNever if it did not.
+  kernel::Instant LastLeaderContact() const {
+    return this->last_leader_contact;
+  }
+
   GrantorActions Tick(kernel::Instant now);
 
   /// Releases the lease and makes no more changes, so that another instance can
@@ -474,6 +486,7 @@
 
   // State of a follower.
   kernel::Instant last_leader_contact = kernel::kNever;
+  bool is_contact_hearsay = false;  ///< Of the last contact.
   kernel::Duration claim_jitter;
   kernel::Instant next_read_at = kernel::kNever;
   bool is_reading_rows = false;
--- a/test/correctness/store_readers_test.cc
+++ b/test/correctness/store_readers_test.cc
@@ -112,6 +112,27 @@
     fleet.Run(20);
     CHECK(fleet.following.contains("b1"));
   }
+  SUBCASE("the one with the most processor time reads") {
+    InstancesByName instances = fleet.readers.at("a1").Instances();
+    instances["a2"].processor_share = 0.5;
+    for (auto& [name, reader] : fleet.readers) reader.SetInstances(instances);
+    fleet.Run(1);
+    CHECK(fleet.following == std::set<std::string>{"a2", "b1"});
+  }
+  SUBCASE("many hear of leaders through the reader of their domain") {
+    CHECK(fleet.readers.at("a2").LeaderSource(fleet.now).empty());
+    InstancesByName instances = fleet.readers.at("a1").Instances();
+    for (int i = 0; i < 60; ++i) {
+      const std::string name = "b" + std::to_string(100 + i);
+      instances[name] = {name, 1, "b", name};
+    }
+    for (auto& [name, reader] : fleet.readers) reader.SetInstances(instances);
+    CHECK(fleet.readers.at("a2").LeaderSource(fleet.now) == "a1");
+    CHECK(fleet.readers.at("b2").LeaderSource(fleet.now) == "b1");
+    CHECK(fleet.readers.at("a1").LeaderSource(fleet.now).empty());
+    fleet.readers.at("b2").OnPeerSilent("b1", fleet.now);
+    CHECK(fleet.readers.at("b2").LeaderSource(fleet.now) == "b100");
+  }
   SUBCASE("of instances that start together, seeds alone follow the store") {
     StoreReaders seed(InstanceRecord{"x", 1, "a", "x"});
     StoreReaders other(InstanceRecord{"y", 1, "a", "y"});
