--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -77,6 +77,9 @@
   /// retries.
   void SetInstanceCount(std::size_t count);
 
+  /// Sets the place of this instance among those of its failure domain.
+  void SetSubsetPosition(const policy::SubsetPosition& position);
+
   /// Sets whether the configuration is known to be the newest. Otherwise a path
   /// without a route may belong to a newer configuration, and its request is
   /// refused as kNoManifest instead of kUnknownService.
@@ -102,6 +105,11 @@
     this->on_server_notice = std::move(observer);
   }
 
+  /// Prepares for the end of this instance at `end`. Requests that may not
+  /// finish by then are refused as not run, whether they arrive or wait, and
+  /// servers are given no longer.
+  void BeginStop(kernel::Instant end) { this->stop_end = end; }
+
   void OnRequest(const net::RequestRef& ref, net::HttpRequest request);
   void OnCallerDisconnected(const net::RequestRef& ref);
 
@@ -141,9 +149,16 @@
   void RecordAnswered(const Job& job, unsigned status, kernel::Instant now);
   void OnFailedTransfer(Job& job, const net::TransferResult& result,
                         kernel::Instant now);
+  /// Counts a request without an answer, by whether its server answers others.
+  void CountTimeout(const Job& job);
   void RecordCompletion(Job& job, policy::AttemptOutcome end,
                         const std::optional<policy::ReportedLoad>& load,
                         kernel::Instant now);
+  /// Whether `job` is expected to finish before a stop ends this instance.
+  bool FinishesBeforeStop(const Job& job, const ServiceState& state,
+                          kernel::Instant now) const;
+  /// Until when a server may work on `job`.
+  kernel::Instant ServerDeadline(const Job& job) const;
   bool RetryIfAllowed(Job& job, kernel::ErrorKind failure, kernel::Instant now);
   void DispatchQueue(ServiceState& state, kernel::Instant now);
   void Refuse(Job& job, const DispatchDecision& decision);
@@ -172,7 +187,9 @@
   net::HttpFront* front = nullptr;
   DispatcherSettings settings;
   std::size_t instance_count;
+  policy::SubsetPosition subset_position;
   bool config_is_current = false;
+  std::optional<kernel::Instant> stop_end;  ///< Set once the stop has begun.
   std::unique_ptr<routing::RouteTable> routes;
   std::shared_ptr<const model::Configuration> config;
   ServerDirectory directory;
--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -294,7 +294,10 @@
       job.failed_connects += 1;
       break;
     case TransferEnd::kTimedOut:
-      kind = ErrorKind::kServerSilent;
+      this->CountTimeout(job);
+      kind = this->stop_end && now >= *this->stop_end
+                 ? ErrorKind::kStopCutOff
+                 : ErrorKind::kServerSilent;
       end = AttemptOutcome::kTimedOut;
       break;
     case TransferEnd::kTruncated:
@@ -325,6 +328,17 @@
                kNotReadyRetryAfter);
 }
 
+void Dispatcher::CountTimeout(const Job& job) {
+  const policy::ServerLoads& loads =
+      this->GetOrCreateServiceState(job.service).loads;
+  const bool is_alive = loads.HasAnsweredSince(job.server_id, job.sent_at);
+  this->metrics
+      .Count("chervilmux_server_timeouts_total",
+             observe::Label("service", job.service) + "," +
+                 observe::Label("server", is_alive ? "answers" : "silent"))
+      .Add();
+}
+
 bool Dispatcher::RetryIfAllowed(Job& job, ErrorKind failure, Instant now) {
   ServiceState& state = this->GetOrCreateServiceState(job.service);
   const bool never_sent = failure == ErrorKind::kServerConnect;
@@ -333,6 +347,8 @@
   if (job.caller_disconnected || (!not_run && !job.route->idempotent))
     return false;
   if (now + state.loads.MeanServiceTime() / 2 >= job.deadline) return false;
+  // Whatever the last attempt's outcome is says more than that of the stop.
+  if (!this->FinishesBeforeStop(job, state, now)) return false;
   const unsigned sends = static_cast<unsigned>(job.tried_servers.size());
   const bool attempts_exhausted =
       sends >= job.route->max_attempts + kExtraSends ||
