--- a/src/dispatch/dispatcher_answers.cc
+++ b/src/dispatch/dispatcher_answers.cc
@@ -347,7 +347,7 @@
   if (job.caller_disconnected || (!not_run && !job.route->idempotent))
     return false;
   if (now + state.loads.MeanServiceTime() / 2 >= job.deadline) return false;
-  // Whatever the last attempt's outcome is says more than that of the stop.
+  // The caller learns more from the last attempt than from the stop.
   if (!this->FinishesBeforeStop(job, state, now)) return false;
   const unsigned sends = static_cast<unsigned>(job.tried_servers.size());
   const bool attempts_exhausted =
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -191,13 +191,15 @@
     kernel::Instant last_answers_at;
     kernel::Instant ends_at;
     bool gave_last_answers = false;
-    std::optional<kernel::Instant> resigns_until;  ///< Set when idle.
+    /// How long an idle process waits for its leases to be free; set once idle.
+    std::optional<kernel::Instant> resigns_until;
     /// Of the services that this instance leads.
     std::map<std::string, Succession> successions;
   };
   std::optional<StopPlan> stop;
-  /// Services whose last leader left its lease to this instance.
-  std::set<std::string, std::less<>> succeeds;
+  /// Services whose lease the last leader has left to this instance, which
+  /// claims it even if it stops meanwhile.
+  std::set<std::string, std::less<>> inherited_leases;
   std::function<void()> on_stopped;
 };
 
--- a/src/node/node_stop.cc
+++ b/src/node/node_stop.cc
@@ -45,7 +45,7 @@
   this->dispatcher->BeginStop(this->stop->last_answers_at);
   this->callers->CloseAfterAnswers();
   for (const auto& [name, service] : this->key_services) {
-    if (!service->Leads() && !this->succeeds.contains(name))
+    if (!service->Leads() && !this->inherited_leases.contains(name))
       service->Grantor().Resign();
   }
 }
@@ -55,7 +55,7 @@
 void Node::HandOverLeadership(Instant now) {
   for (const auto& [name, service] : this->key_services) {
     if (service->Leads()) {
-      this->succeeds.erase(name);
+      this->inherited_leases.erase(name);
       Succession& succession = this->stop->successions[name];
       if (succession.Successor()) service->Grantor().Resign();
       if (succession.IsDue(now)) this->AskForSuccessor(name, succession, now);
@@ -115,7 +115,7 @@
   reply.agrees = this->registered && this->Ready();
   // One that agreed and stops meanwhile leads until it finds a successor.
   if (request.lease_is_free) {
-    this->succeeds.insert(request.service);
+    this->inherited_leases.insert(request.service);
     service->second->Grantor().OnLeaderResigned(kernel::Now());
   }
   return reply;
