--- a/src/node/view_history.h
+++ b/src/node/view_history.h
@@ -5,6 +5,7 @@
 #ifndef CHERVILMUX_NODE_VIEW_HISTORY_H_
 #define CHERVILMUX_NODE_VIEW_HISTORY_H_
 
+#include <cstddef>
 #include <deque>
 
 #include "kernel/time.h"
@@ -21,12 +22,17 @@
   /// older version missed a change and needs the whole view.
   ViewVersion HeardByAll(kernel::Instant now);
 
+  std::size_t Size() const { return this->entries.size(); }
+
  private:
   struct Entry {
     ViewVersion version;
     kernel::Instant since;
   };
 
+  /// Forgets what is older than the version that HeardByAll() returns.
+  void ForgetOlder(kernel::Instant now);
+
   std::deque<Entry> entries;  ///< Oldest first.
 };
 
--- a/test/correctness/view_history_test.cc
+++ b/test/correctness/view_history_test.cc
@@ -24,6 +24,11 @@
   CHECK(history.HeardByAll(now + milliseconds(400)) == ViewVersion(3, 1));
   CHECK(history.HeardByAll(now + milliseconds(720)) == ViewVersion(3, 2));
   CHECK(history.HeardByAll(now + kernel::seconds(9)) == ViewVersion(3, 3));
+  SUBCASE("take little memory where nobody asks") {
+    for (std::uint64_t i = 0; i < 1000; ++i)
+      history.Add({4, i}, now + kernel::seconds(10 + static_cast<int>(i)));
+    CHECK(history.Size() <= 3);
+  }
 }
 
 TEST_CASE("counts of keys that are reported on through another instance") {
