--- a/test/correctness/server_subset_test.cc
+++ b/test/correctness/server_subset_test.cc
@@ -53,12 +53,13 @@
     }
   }
   GIVEN("many of both") {
-    for (const auto& [servers, instances] :
-         {std::pair<std::size_t, std::size_t>{62, 29},
-          {57, 59},
-          {26, 59},
-          {300, 30},
-          {9, 300}}) {
+    for (const auto& counts : {std::pair<std::size_t, std::size_t>{62, 29},
+                               {57, 59},
+                               {26, 59},
+                               {300, 30},
+                               {9, 300}}) {
+      const std::size_t servers = counts.first;
+      const std::size_t instances = counts.second;
       CAPTURE(servers);
       CAPTURE(instances);
       const auto ids = MakeIds(servers);
@@ -80,7 +81,7 @@
       }
     }
     THEN("one more server or instance changes few pairs") {
-      const std::size_t pairs = 29 * 9;
+      const std::size_t pairs = std::size_t{29} * 9;
       CHECK(ChangedPairs(MakeIds(62), 29, MakeIds(63), 29) < pairs / 5);
       CHECK(ChangedPairs(MakeIds(62), 29, MakeIds(62), 30) < pairs / 5);
     }
