--- a/test/scenario/server_subset_load_test.cc
+++ b/test/scenario/server_subset_load_test.cc
@@ -80,10 +80,12 @@
       weight = std::uniform_real_distribution<double>(0.5, 1.5)(this->random);
     std::discrete_distribution<std::size_t> pick(weights.begin(),
                                                  weights.end());
-    for (double at = 0; at < kRunS; at += gap(this->random)) {
+    double at = 0;
+    while (at < kRunS) {
       this->Schedule(at, [this, number = pick(this->random)] {
         this->Send(this->senders[number]);
       });
+      at += gap(this->random);
     }
     while (!this->events.empty()) {
       const auto first = this->events.begin();
