--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -244,11 +244,16 @@
         self.process.wait()
 
 
+def tell(*words):
+    """A line from the child to the script, whole also beside other threads."""
+    os.write(sys.stdout.fileno(), (" ".join(str(word) for word in words) + "\n").encode())
+
+
 def serve_as_child(handle):
     """The child's side: accepts connections, one thread each, until killed or
     until its parent has gone."""
     server = socket.create_server(("127.0.0.1", 0), backlog=256)
-    print(server.getsockname()[1], flush=True)
+    tell(server.getsockname()[1])
 
     def end_with_parent():
         sys.stdin.read()
@@ -443,8 +448,8 @@
             if not broken:
                 record.say("the rule held")
             status = BROKEN if broken else HELD
-        except (CouldNotRun, OSError) as error:
-            record.say("could not run: %s" % error)
+        except Exception as error:  # pylint: disable=broad-except
+            record.say("could not run: %s %s" % (type(error).__name__, error))
         finally:
             for process in started:
                 process.kill()
