--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -278,6 +278,7 @@
     """Start line and headers of a message."""
 
     def __init__(self, raw):
+        self.raw = raw
         first, *lines = raw.decode("latin-1").split("\r\n")
         self.first = first.split(" ", 2)
         self.fields = {}
