--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -205,7 +205,7 @@
     """Started by the script; the class of the case's module serves in the child."""
 
     def __init__(self, store, record, name, service, script, zone="praha-a",
-                 slots=6, more=()):
+                 slots=6, more=(), joins=True):
         self.store, self.record, self.name = store, record, name
         self.service, self.zone, self.slots = service, zone, slots
         self.born, self.reports = int(time.time() * 1000), 0
@@ -215,6 +215,11 @@
             stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
         self.port = int(self.process.stdout.readline())
         threading.Thread(target=self.read, daemon=True).start()
+        if joins:
+            self.join()
+
+    def join(self):
+        """Registers itself in the store, and goes on to."""
         threading.Thread(target=self.beat, daemon=True).start()
 
     def read(self):
@@ -249,9 +254,9 @@
     os.write(sys.stdout.fileno(), (" ".join(str(word) for word in words) + "\n").encode())
 
 
-def serve_as_child(handle):
+def serve_as_child(handle, watch_input=True):
     """The child's side: accepts connections, one thread each, until killed or
-    until its parent has gone."""
+    until its parent has gone (unless the case watches its input itself)."""
     server = socket.create_server(("127.0.0.1", 0), backlog=256)
     tell(server.getsockname()[1])
 
@@ -267,7 +272,8 @@
         finally:
             plug.close()
 
-    threading.Thread(target=end_with_parent, daemon=True).start()
+    if watch_input:
+        threading.Thread(target=end_with_parent, daemon=True).start()
     while True:
         plug, _ = server.accept()
         plug.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
