An answer with a spoiled head is no answer

Cause: http_parser takes blanks in names, folded lines, bare line feeds and control characters. The reader of requests checked heads itself before the library; the reader of answers and libcurl's callback did not. The spoiled name was no longer known as one that concerns only the system and was passed on.

Change: the checks are a unit of their own, net/message_head, which requests, answers and header lines from libcurl all pass. The reader keeps an answer's head until it is whole (80 KB at most, the library's limit) and checks it before the library sees it. A spoiled head ends the attempt as truncated: the request goes on to another server where it may, else ends with 502.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "kernel/timer.h"
+#include "net/message_head.h"
 #include "net/tcp.h"
 
 namespace chervilmux::net {
@@ -79,9 +80,13 @@
   while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
     line.remove_suffix(1);
   }
-  if (line.empty()) transfer.head_whole = !transfer.is_interim;
+  if (line.empty()) {
+    transfer.head_whole = !transfer.is_interim;
+    return bytes;
+  }
+  // Ends the transfer.
+  if (!FaultInHeaderLine(line).empty()) return 0;
   const auto colon = line.find(':');
-  if (colon == std::string_view::npos) return bytes;
   std::string_view value = line.substr(colon + 1);
   while (!value.empty() && value.front() == ' ') value.remove_prefix(1);
   transfer.answer.headers.push_back(
--- a/src/net/message_reader.cc
+++ b/src/net/message_reader.cc
@@ -3,16 +3,18 @@
 #include <http_parser.h>
 
 #include <algorithm>
-#include <array>
-#include <cstring>
 #include <utility>
-#include <vector>
+
+#include "net/message_head.h"
 
 namespace chervilmux::net {
 namespace {
 
 using kernel::ErrorKind;
 
+/// Longest head of an answer.
+constexpr std::size_t kMaxAnswerHeadBytes = 80U << 10U;
+
 /// Collects the headers that http_parser reports in pieces.
 struct HeaderCollector {
   Headers headers;
@@ -29,100 +31,10 @@
   }
 };
 
-bool IsTokenByte(unsigned char byte) {
-  constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
-  return (byte >= '0' && byte <= '9') || (byte >= 'a' && byte <= 'z') ||
-         (byte >= 'A' && byte <= 'Z') ||
-         kSymbols.find(static_cast<char>(byte)) != std::string_view::npos;
-}
-
-bool IsToken(std::string_view text) {
-  return !text.empty() && std::ranges::all_of(text, IsTokenByte);
-}
-
-bool IsVisible(std::string_view text) {
-  return std::ranges::all_of(
-      text, [](unsigned char byte) { return byte > 0x20 && byte != 0x7F; });
-}
-
-bool IsFieldValue(std::string_view text) {
-  return std::ranges::all_of(text, [](unsigned char byte) {
-    return byte == '\t' || (byte >= 0x20 && byte != 0x7F);
-  });
-}
-
-bool IsDecimal(std::string_view text) {
-  constexpr std::size_t kMaxLengthDigits = 15;
-  return !text.empty() && text.size() <= kMaxLengthDigits &&
-         std::ranges::all_of(text, [](char c) { return c >= '0' && c <= '9'; });
-}
-
-/// Counts the headers that decide where a request ends and who it is for.
-struct Framing {
-  int lengths = 0;
-  int encodings = 0;
-  int hosts = 0;
-  bool valid = true;
-
-  void OnHeader(std::string_view name, std::string_view value) {
-    if (SameHeaderName(name, "content-length")) {
-      this->lengths += 1;
-      this->valid = this->valid && IsDecimal(value);
-    } else if (SameHeaderName(name, "transfer-encoding")) {
-      this->encodings += 1;
-      this->valid = this->valid && SameHeaderName(value, "chunked");
-    } else if (SameHeaderName(name, "host")) {
-      this->hosts += 1;
-      this->valid = this->valid && IsVisible(value);
-    }
-  }
-
-  bool HasOneReading() const {
-    return this->valid && this->lengths + this->encodings <= 1 &&
-           this->hosts == 1;
-  }
-};
-
-/// What is wrong with a request head (without its last empty line); empty when
-/// nothing is.
-std::string_view FaultInHead(std::string_view head) {
-  const auto first_end = head.find("\r\n");
-  const std::string_view line = head.substr(0, first_end);
-  const auto first_space = line.find(' ');
-  const auto last_space = line.rfind(' ');
-  if (first_space == std::string_view::npos || first_space == last_space) {
-    return "the request line needs a method, a target and a version";
-  }
-  if (!IsToken(line.substr(0, first_space))) return "the method is no token";
-  if (!IsVisible(line.substr(first_space + 1, last_space - first_space - 1))) {
-    return "the target holds spaces or control characters";
-  }
-  const std::string_view version = line.substr(last_space + 1);
-  if (version != "HTTP/1.1" && version != "HTTP/1.0") {
-    return "the version is neither HTTP/1.1 nor HTTP/1.0";
-  }
-  Framing framing;
-  std::string_view rest =
-      first_end == std::string_view::npos ? "" : head.substr(first_end + 2);
-  while (!rest.empty()) {
-    const auto end = rest.find("\r\n");
-    const std::string_view field = rest.substr(0, end);
-    rest = end == std::string_view::npos ? "" : rest.substr(end + 2);
-    const auto colon = field.find(':');
-    if (colon == std::string_view::npos || !IsToken(field.substr(0, colon))) {
-      return "a header line is folded or has no proper name";
-    }
-    const std::string_view value = TrimBlanks(field.substr(colon + 1));
-    if (!IsFieldValue(value)) return "a header holds control characters";
-    framing.OnHeader(field.substr(0, colon), value);
-  }
-  if (!framing.HasOneReading()) {
-    return "Host must stand once, and one framing header at most";
-  }
-  if (version == "HTTP/1.0" && framing.encodings > 0) {
-    return "HTTP/1.0 has no Transfer-Encoding";
-  }
-  return "";
+/// Whether `bytes`, a part of an answer's head, may become a whole one. A head
+/// that ends its lines by line feeds alone never ends for us.
+bool MayBecomeHead(std::string_view bytes) {
+  return MayBeginAnswer(bytes) && bytes.find("\n\n") == std::string_view::npos;
 }
 
 template <typename Owner>
@@ -190,16 +102,16 @@
   ReadState FeedHead() {
     // Empty lines before a request line are ignored (RFC 9112, 2.2).
     while (this->buffer.starts_with("\r\n")) this->buffer.erase(0, 2);
-    const auto end = this->buffer.find("\r\n\r\n");
+    const auto end = this->buffer.find(kHeadEnd);
     const std::size_t head_size =
-        end == std::string::npos ? this->buffer.size() : end + 4;
+        end == std::string::npos ? this->buffer.size() : end + kHeadEnd.size();
     if (head_size > this->limits.max_head_bytes) {
       return this->Refuse(ErrorKind::kHeadersTooLarge, "head too large");
     }
     const std::string_view head(this->buffer.data(),
                                 end == std::string::npos ? 0 : end);
     if (end == std::string::npos) return this->CheckBareLineFeed();
-    if (const auto fault = FaultInHead(head); !fault.empty()) {
+    if (const auto fault = FaultInRequestHead(head); !fault.empty()) {
       return this->Refuse(ErrorKind::kBadRequest, fault);
     }
     http_parser_init(&this->parser, HTTP_REQUEST);
@@ -309,12 +221,6 @@
   Impl(bool to_head, std::size_t max_body_bytes)
       : to_head(to_head), max_body_bytes(max_body_bytes) {
     http_parser_settings_init(&this->settings);
-    this->settings.on_message_begin = [](http_parser* parser) {
-      auto& self = OwnerOf<Impl>(parser);
-      self.collector = HeaderCollector();
-      self.head_done = false;
-      return 0;
-    };
     CollectHeaders<Impl>(this->settings);
     this->settings.on_headers_complete = [](http_parser* parser) {
       auto& self = OwnerOf<Impl>(parser);
@@ -333,45 +239,97 @@
       return 0;
     };
     this->settings.on_message_complete = [](http_parser* parser) {
-      auto& self = OwnerOf<Impl>(parser);
-      if (parser->status_code < 200) return 0;
-      self.answer.status = static_cast<std::uint16_t>(parser->status_code);
-      self.keep_alive = http_should_keep_alive(parser) != 0;
-      self.whole = true;
+      OwnerOf<Impl>(parser).message_ended = true;
       http_parser_pause(parser, 1);
       return 0;
     };
-    http_parser_init(&this->parser, HTTP_RESPONSE);
-    this->parser.data = this;
   }
 
   ReadState Append(std::string_view bytes) {
     this->used = 0;
-    if (this->whole) return ReadState::kComplete;
     this->started = this->started || !bytes.empty();
-    this->used = http_parser_execute(&this->parser, &this->settings,
-                                     bytes.data(), bytes.size());
-    if (this->whole) return ReadState::kComplete;
-    const bool failed =
-        HTTP_PARSER_ERRNO(&this->parser) != HPE_OK || this->parser.upgrade != 0;
-    return failed ? ReadState::kInvalid : ReadState::kNeedMore;
+    while (!this->whole && this->used < bytes.size()) {
+      const std::string_view rest = bytes.substr(this->used);
+      this->used += this->head_fed ? this->Feed(rest) : this->ReadHead(rest);
+      if (this->invalid) return ReadState::kInvalid;
+    }
+    return this->whole ? ReadState::kComplete : ReadState::kNeedMore;
   }
 
   ReadState OnEnd() {
     if (this->whole) return ReadState::kComplete;
-    if (!this->started) return ReadState::kInvalid;
-    http_parser_execute(&this->parser, &this->settings, nullptr, 0);
+    if (!this->head_fed) return ReadState::kInvalid;
+    this->Feed({});
     return this->whole ? ReadState::kComplete : ReadState::kInvalid;
   }
 
+  /// Takes bytes of the head. Returns how many of them belong to it.
+  std::size_t ReadHead(std::string_view bytes) {
+    if (this->head.empty()) {
+      // Empty lines before a status line are ignored.
+      const auto first = bytes.find_first_not_of("\r\n");
+      if (first != 0) return std::min(first, bytes.size());
+    }
+    const std::size_t known = this->head.size();
+    this->head += bytes;
+    // The empty line may have begun in an earlier piece.
+    const std::size_t searched = known - std::min(known, kHeadEnd.size() - 1);
+    const auto end = this->head.find(kHeadEnd, searched);
+    const bool is_whole = end != std::string::npos;
+    if (is_whole) this->head.resize(end + kHeadEnd.size());
+    const std::size_t taken = this->head.size() - known;
+    this->invalid =
+        this->head.size() > kMaxAnswerHeadBytes ||
+        !(is_whole ? FaultInAnswerHead({this->head.data(), end}).empty()
+                   : MayBecomeHead(this->head));
+    if (is_whole && !this->invalid) this->FeedHead();
+    return taken;
+  }
+
+  void FeedHead() {
+    http_parser_init(&this->parser, HTTP_RESPONSE);
+    this->parser.data = this;
+    this->collector = HeaderCollector();
+    this->head_done = false;
+    this->head_fed = true;
+    const std::string lines = std::exchange(this->head, std::string());
+    this->Feed(lines);
+  }
+
+  /// Has the library read `bytes`, or the end of the connection without any.
+  /// Returns how many of them belong to the message.
+  std::size_t Feed(std::string_view bytes) {
+    const std::size_t taken = http_parser_execute(
+        &this->parser, &this->settings, bytes.data(), bytes.size());
+    if (this->message_ended && this->parser.upgrade == 0) {
+      this->OnMessageEnd();
+    } else if (HTTP_PARSER_ERRNO(&this->parser) != HPE_OK) {
+      this->invalid = true;
+    }
+    return taken;
+  }
+
+  void OnMessageEnd() {
+    this->message_ended = false;
+    this->head_fed = false;
+    if (this->parser.status_code < 200) return;
+    this->answer.status = static_cast<std::uint16_t>(this->parser.status_code);
+    this->keep_alive = http_should_keep_alive(&this->parser) != 0;
+    this->whole = true;
+  }
+
   bool to_head;
   std::size_t max_body_bytes;
   http_parser parser{};
   http_parser_settings settings{};
+  std::string head;  ///< Bytes of a head that is not whole.
   HttpAnswer answer;
   HeaderCollector collector;
-  bool head_done = false;
+  bool head_fed = false;   ///< The library has read the head.
+  bool head_done = false;  ///< Further fields are trailers.
+  bool message_ended = false;
   bool whole = false;
+  bool invalid = false;
   bool started = false;
   std::size_t used = 0;
   bool keep_alive = false;
--- a/src/net/message_reader.h
+++ b/src/net/message_reader.h
@@ -1,11 +1,7 @@
 /// \file
 /// Defines incremental readers of HTTP/1.1 requests and answers, on top of the
-/// http_parser library.
-///
-/// The library accepts some forms that two parties may read differently
-/// (folded headers, bare line feeds, repeated framing headers). A request that
-/// passes through two servers must have one reading only, so the request reader
-/// checks the head itself before the library sees it and refuses those forms.
+/// http_parser library. Heads that may be read in two ways are refused
+/// (net/message_head.h).
 
 #ifndef CHERVILMUX_NET_MESSAGE_READER_H_
 #define CHERVILMUX_NET_MESSAGE_READER_H_
@@ -69,7 +65,8 @@
   std::unique_ptr<Impl> impl;
 };
 
-/// Reads one answer. Interim answers (1xx) are skipped.
+/// Reads one answer. Interim answers (1xx) are skipped. Bytes that HTTP does
+/// not allow in a head make the answer invalid: they would reach a caller.
 class AnswerReader {
  public:
   /// `to_head`: the request's method was HEAD, so that no body follows.
--- a/test/correctness/cut_answer_test.cc
+++ b/test/correctness/cut_answer_test.cc
@@ -229,5 +229,21 @@
   }
 }
 
+// Failure: a header line that HTTP does not allow is passed on to the caller.
+TEST_CASE("an answer with a spoiled header line is not complete") {
+  const std::string head = "HTTP/1.1 200 OK\r\nMark: m\r\n";
+  const std::string end = "Content-Length: 4\r\n\r\nabcd";
+  for (const std::string line : {"Server Load: 1,0,6", " Folded: x", "no colon",
+                                 "A: b\x01", ": no name", "A : b"}) {
+    CuttingServer cutting;
+    cutting.bytes = head + line + "\r\n" + end;
+    CAPTURE(line);
+    CurlWay curl;
+    CHECK(curl.Ask(cutting.server.Address()).end == TransferEnd::kTruncated);
+    LinksWay links;
+    CHECK(links.Ask(cutting.server.Address()).end == TransferEnd::kTruncated);
+  }
+}
+
 }  // namespace
 }  // namespace chervilmux::net
--- a/test/error/message_reader_test.cc
+++ b/test/error/message_reader_test.cc
@@ -72,6 +72,107 @@
   }
 }
 
+namespace {
+
+ReadState AnswerStateAfter(std::string_view bytes) {
+  AnswerReader reader(false, 100);
+  return reader.Append(bytes);
+}
+
+}  // namespace
+
+// Failure: an answer with one wrong byte in its head is passed on to a caller,
+// who gets bytes that are no HTTP.
+TEST_CASE("answers with a spoiled head are no answers") {
+  const std::string line = "HTTP/1.1 200 OK\r\n";
+  const std::string end = "Content-Length: 1\r\n\r\nx";
+  REQUIRE(AnswerStateAfter(line + "A-B: c\r\n" + end) == ReadState::kComplete);
+  SUBCASE("in the name of a header") {
+    for (const std::string name : {"A B", "A ", " A", "", "A\x01", "A\x7f",
+                                   "A\x80", "A(", "A\"", "A/"}) {
+      CAPTURE(name);
+      CHECK(AnswerStateAfter(line + name + ": c\r\n" + end) ==
+            ReadState::kInvalid);
+      CHECK(AnswerStateAfter(line + "X: y\r\n" + name + ": c\r\n" + end) ==
+            ReadState::kInvalid);
+    }
+    CHECK(AnswerStateAfter(line + "no colon\r\n" + end) == ReadState::kInvalid);
+  }
+  SUBCASE("in the value of a header") {
+    for (const char byte : {'\0', '\x01', '\r', '\n', '\x7f'}) {
+      CAPTURE(static_cast<int>(byte));
+      for (const std::string& value :
+           {byte + std::string("c"), std::string("c") + byte,
+            std::string("c") + byte + "d"}) {
+        CHECK(AnswerStateAfter(line + "A: " + value + "\r\n" + end) ==
+              ReadState::kInvalid);
+      }
+    }
+    CHECK(AnswerStateAfter(line + "A: b\r\n c\r\n" + end) ==
+          ReadState::kInvalid);
+  }
+  SUBCASE("in the status line") {
+    for (const std::string spoiled :
+         {"HTTP/1.1 200 O\x01K", "HTTP/1.1 2000 OK", "HTTP/1.1 20 OK",
+          "HTTP/1.1 2 0 OK", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK",
+          "HTTP/2.1 200 OK", "HTTP/1.1 200\tOK", "HTTP/1.1 200 O\nK"}) {
+      CAPTURE(spoiled);
+      CHECK(AnswerStateAfter(spoiled + "\r\n" + end) == ReadState::kInvalid);
+    }
+  }
+  SUBCASE("in an interim answer before the final one") {
+    CHECK(AnswerStateAfter("HTTP/1.1 103 Early\r\nA B: c\r\n\r\n" + line +
+                           end) == ReadState::kInvalid);
+  }
+  SUBCASE("in the ends of its lines") {
+    CHECK(AnswerStateAfter("HTTP/1.1 200 OK\nContent-Length: 1\n\nx") ==
+          ReadState::kInvalid);
+    CHECK(AnswerStateAfter(line + "A: b\nB: c\r\n" + end) ==
+          ReadState::kInvalid);
+  }
+  SUBCASE("in what tells its end") {
+    for (const std::string framing :
+         {"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: gzip, chunked\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+          "Content-Length: +1\r\n", "Content-Length: 1, 1\r\n"}) {
+      CAPTURE(framing);
+      CHECK(AnswerStateAfter(line + framing + "\r\n1\r\nx\r\n0\r\n\r\n") ==
+            ReadState::kInvalid);
+    }
+  }
+}
+
+TEST_CASE("an answer that changes the protocol is no answer") {
+  CHECK(AnswerStateAfter("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+                         "Connection: upgrade\r\n\r\n") == ReadState::kInvalid);
+}
+
+TEST_CASE("answers are read the same in any pieces") {
+  const std::string bytes =
+      "\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n"
+      "Empty:\r\nText: \t a\xC3\xA9 b \r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n0\r\nLate: x\r\n\r\n";
+  for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
+    AnswerReader reader(false, 100);
+    auto state = ReadState::kNeedMore;
+    std::string_view rest = bytes;
+    while (!rest.empty() && state == ReadState::kNeedMore) {
+      state = reader.Append(rest.substr(0, piece));
+      rest.remove_prefix(reader.Used());
+    }
+    CAPTURE(piece);
+    CHECK(state == ReadState::kComplete);
+    CHECK(rest.empty());
+    const HttpAnswer answer = reader.Take();
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "abc");
+    REQUIRE(answer.headers.size() == 3);
+    CHECK(answer.headers[0] == Header{"Empty", ""});
+    CHECK(TrimBlanks(answer.headers[1].value) == "a\xC3\xA9 b");
+  }
+}
+
 TEST_CASE("requests that follow each other on one connection") {
   RequestReader reader(ReadLimits{});
   const std::string stream =
