Answers without end hold no more memory than is left

A store that sends trailers without end took a process to 3.8 GB within 20 s, in which it served nobody; a peer to over 400 MB; sixty bodies without end from servers took one with a limit of 160 MB from 15 to 100 to 158 MB. A process over its limit is killed, with the requests of all callers.

Cause: the limit on unfinished answers counted bytes of bodies. Strings that grow hold two to three times that; heads were not counted; libcurl keeps every trailer and bounds none; the answers of store and peers had no limit together; and the limit was a share of all memory, whatever the process held beside it.

Change: bodies are kept in blocks and count with what holds them, as heads do. Head, interim answers and trailers of an answer are bounded together on both ways. policy/memory_budget shares what the process has left between answers of servers, of store and peers, and answers not taken yet.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -17,8 +17,10 @@
 #include <vector>
 
 #include "kernel/timer.h"
+#include "net/body_buffer.h"
 #include "net/message_head.h"
 #include "net/tcp.h"
+#include "observe/log.h"
 
 namespace chervilmux::net {
 namespace {
@@ -26,6 +28,12 @@
 constexpr long kMaxIdleConnectionAgeS = 30;
 /// libcurl takes at least so much at a time of what lies in a socket.
 constexpr long kReadChunk = 16L << 10U;
+/// What libcurl keeps of each line of a head, beside its bytes.
+constexpr std::size_t kLibraryBytesPerLine = 128;
+/// A handle that has read a longer head is not used again: it keeps the head.
+constexpr std::size_t kSpareHeadBytes = 16U << 10U;
+/// Limit on the memory of all unfinished answers until one is set.
+constexpr std::size_t kDefaultMaxBufferedBytes = 128U << 20U;
 /// libcurl's own limit, unless set, is 300 s. Only the deadline counts here.
 constexpr long kNoConnectLimitMs = std::numeric_limits<int>::max();
 
@@ -43,23 +51,35 @@
   std::size_t body_sent = 0;
   TransferOptions options;
   TransferDone done;
-  HttpAnswer answer;
+  Headers headers;
+  BodyBuffer body;
+  /// Bytes and lines of heads and trailers. libcurl keeps a copy of all.
+  std::size_t head_bytes = 0;
+  std::size_t head_lines = 0;
   int writes_begun = 0;
   bool head_begun = false;
   bool is_interim = false;  ///< The head that is being read has a status 1xx.
   bool head_whole = false;  ///< The head of the final answer was read.
   bool too_large = false;
+
+  /// Bytes of memory that hold the answer.
+  std::size_t HeldBytes() const {
+    constexpr std::size_t kBytesPerLine =
+        kLibraryBytesPerLine + 2 * sizeof(Header);
+    return 2 * this->head_bytes + this->head_lines * kBytesPerLine +
+           this->body.HeldBytes();
+  }
 };
 
 std::size_t OnBody(char* data, std::size_t size, std::size_t count,
                    void* user) {
   auto& transfer = *static_cast<Transfer*>(user);
   const std::size_t bytes = size * count;
-  if (transfer.answer.body.size() + bytes > transfer.options.max_answer_bytes) {
+  if (transfer.body.Size() + bytes > transfer.options.max_answer_bytes) {
     transfer.too_large = true;
     return 0;
   }
-  transfer.answer.body.append(data, bytes);
+  transfer.body.Append({data, bytes});
   return bytes;
 }
 
@@ -68,12 +88,16 @@
   auto& transfer = *static_cast<Transfer*>(user);
   const std::size_t bytes = size * count;
   std::string_view line(data, bytes);
+  transfer.head_bytes += bytes;
+  transfer.head_lines += 1;
+  // Ends the transfer.
+  if (transfer.head_bytes > kMaxAnswerHeadBytes) return 0;
   // Fields behind the body (trailers) are not passed on.
   if (transfer.head_whole) return bytes;
   transfer.head_begun = true;
   if (line.starts_with("HTTP/")) {
     // A final answer may follow an interim one; only the last counts.
-    transfer.answer.headers.clear();
+    transfer.headers.clear();
     transfer.is_interim = line.find(" 1") == line.find(' ');
     return bytes;
   }
@@ -84,12 +108,11 @@
     transfer.head_whole = !transfer.is_interim;
     return bytes;
   }
-  // Ends the transfer.
   if (!FaultInHeaderLine(line).empty()) return 0;
   const auto colon = line.find(':');
   std::string_view value = line.substr(colon + 1);
   while (!value.empty() && value.front() == ' ') value.remove_prefix(1);
-  transfer.answer.headers.push_back(
+  transfer.headers.push_back(
       {std::string(line.substr(0, colon)), std::string(value)});
   return bytes;
 }
@@ -132,7 +155,7 @@
 /// Whether the body has the length that the head states, if it states one. It
 /// counts the bytes on the wire, before a compressed body is unpacked.
 bool HasStatedLength(const Transfer& transfer, long status) {
-  const Headers& headers = transfer.answer.headers;
+  const Headers& headers = transfer.headers;
   const bool never_has_body =
       transfer.request.method == "HEAD" || status == 204 || status == 304;
   const bool is_framed = !FindHeader(headers, "transfer-encoding").empty();
@@ -210,6 +233,17 @@
     return id;
   }
 
+  std::size_t BufferedBytes() const {
+    std::size_t sum = 0;
+    for (const auto& [id, transfer] : this->transfers)
+      sum += transfer->HeldBytes();
+    return sum;
+  }
+
+  void SetMaxBufferedBytes(std::size_t limit) {
+    this->max_buffered_bytes = limit;
+  }
+
   void Cancel(TransferId id) {
     const auto found = this->transfers.find(id);
     if (found == this->transfers.end()) return;
@@ -444,6 +478,7 @@
     int running = 0;
     curl_multi_socket_action(this->multi, socket, events, &running);
     this->Collect();
+    this->LimitBufferedBytes();
     if (this->depth == 0) this->retired.clear();
   }
 
@@ -462,6 +497,19 @@
     this->depth -= 1;
   }
 
+  void LimitBufferedBytes() {
+    while (this->BufferedBytes() > this->max_buffered_bytes) {
+      const auto largest = std::ranges::max_element(
+          this->transfers, {},
+          [](const auto& entry) { return entry.second->HeldBytes(); });
+      const Transfer& transfer = *largest->second;
+      observe::LogWarn("answer_given_up",
+                       {{"url", transfer.request.url},
+                        {"bytes", std::to_string(transfer.HeldBytes())}});
+      this->Finish(transfer.easy, TransferEnd::kTooLarge);
+    }
+  }
+
   void Finish(CURL* easy, TransferEnd end) {
     Transfer* raw = nullptr;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, &raw);
@@ -478,10 +526,15 @@
     curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
     result.reused_connection = connects == 0;
     curl_multi_remove_handle(this->multi, easy);
-    this->spare.push_back(easy);
-    transfer->answer.status = static_cast<std::uint16_t>(status);
+    if (transfer->head_bytes > kSpareHeadBytes) {
+      curl_easy_cleanup(easy);
+    } else {
+      this->spare.push_back(easy);
+    }
     if (end == TransferEnd::kComplete) {
-      result.answer = std::move(transfer->answer);
+      result.answer.status = static_cast<std::uint16_t>(status);
+      result.answer.headers = std::move(transfer->headers);
+      result.answer.body = transfer->body.Take();
     }
     transfer->done(std::move(result));
   }
@@ -497,6 +550,7 @@
   std::map<curl_socket_t, std::unique_ptr<Watch>> watches;
   std::vector<std::unique_ptr<Watch>> retired;
   std::vector<CURL*> spare;
+  std::size_t max_buffered_bytes = kDefaultMaxBufferedBytes;
 };
 
 HttpClient::HttpClient(kernel::ReactorTask& task,
@@ -512,5 +566,11 @@
 }
 
 void HttpClient::Cancel(TransferId id) { this->impl->Cancel(id); }
+void HttpClient::SetMaxBufferedBytes(std::size_t limit) {
+  this->impl->SetMaxBufferedBytes(limit);
+}
+std::size_t HttpClient::BufferedBytes() const {
+  return this->impl->BufferedBytes();
+}
 
 }  // namespace chervilmux::net
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -72,6 +72,14 @@
   /// Abandons a transfer and closes its connection. `done` gets kCancelled.
   void Cancel(TransferId id);
 
+  /// Bounds the memory of unfinished answers over all transfers, in bytes. When
+  /// they exceed it, the largest answer is given up as kTooLarge: a faulty
+  /// server may send bytes without end.
+  void SetMaxBufferedBytes(std::size_t limit);
+
+  /// Bytes of memory that hold unfinished answers.
+  std::size_t BufferedBytes() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl;
--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -690,6 +690,10 @@
   }
 }
 
+void HttpFront::SetMaxUnsentBytes(std::size_t limit) {
+  this->impl->limits.max_unsent_bytes = limit;
+}
+
 void HttpFront::CloseAfterAnswers() { this->impl->close_after_answers = true; }
 
 void HttpFront::StopAccepting() {
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -98,6 +98,9 @@
 
   void SetLimits(const FrontLimits& limits);
 
+  /// Changes FrontLimits::max_unsent_bytes until the limits are set again.
+  void SetMaxUnsentBytes(std::size_t limit);
+
   /// From now on each answer that is the last one pending on its connection
   /// asks the caller to close.
   void CloseAfterAnswers();
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -52,6 +52,17 @@
   return found == headers.end() ? std::string_view() : found->value;
 }
 
+std::size_t HeldBytes(const Headers& headers) {
+  const std::size_t own_bytes = std::string().capacity();
+  const auto outside = [own_bytes](const std::string& text) {
+    return text.capacity() > own_bytes ? text.capacity() : 0;
+  };
+  std::size_t bytes = headers.capacity() * sizeof(Header);
+  for (const auto& header : headers)
+    bytes += outside(header.name) + outside(header.value);
+  return bytes;
+}
+
 void RemoveHopByHop(Headers& headers) {
   const auto named = ConnectionTokens(headers);
   const auto same_as = [](std::string_view name) {
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -4,6 +4,7 @@
 #ifndef CHERVILMUX_NET_HTTP_MESSAGE_H_
 #define CHERVILMUX_NET_HTTP_MESSAGE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -27,6 +28,9 @@
 /// Whether two header names are the same without regard to case.
 bool SameHeaderName(std::string_view left, std::string_view right);
 
+/// Bytes of memory that hold `headers`.
+std::size_t HeldBytes(const Headers& headers);
+
 /// Removes the headers that concern one connection only (RFC 9110, 7.6.1),
 /// those that `Connection` names included.
 void RemoveHopByHop(Headers& headers);
--- a/src/net/message_head.h
+++ b/src/net/message_head.h
@@ -11,6 +11,7 @@
 #ifndef CHERVILMUX_NET_MESSAGE_HEAD_H_
 #define CHERVILMUX_NET_MESSAGE_HEAD_H_
 
+#include <cstddef>
 #include <string_view>
 
 namespace chervilmux::net {
@@ -18,6 +19,10 @@
 /// Ends a head.
 inline constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
+/// Longest head of an answer, the interim answers before it and its trailers
+/// included.
+inline constexpr std::size_t kMaxAnswerHeadBytes = 80U << 10U;
+
 /// What is wrong with the head of a request, given without kHeadEnd; empty when
 /// nothing is.
 std::string_view FaultInRequestHead(std::string_view head);
--- a/src/net/message_reader.cc
+++ b/src/net/message_reader.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "net/body_buffer.h"
 #include "net/message_head.h"
 
 namespace chervilmux::net {
@@ -12,9 +13,6 @@
 
 using kernel::ErrorKind;
 
-/// Longest head of an answer.
-constexpr std::size_t kMaxAnswerHeadBytes = 80U << 10U;
-
 /// Collects the headers that http_parser reports in pieces.
 struct HeaderCollector {
   Headers headers;
@@ -231,11 +229,11 @@
     this->settings.on_body = [](http_parser* parser, const char* at,
                                 std::size_t length) {
       auto& self = OwnerOf<Impl>(parser);
-      if (self.answer.body.size() + length > self.max_body_bytes) {
+      if (self.body.Size() + length > self.max_body_bytes) {
         self.too_large = true;
         return 1;
       }
-      self.answer.body.append(at, length);
+      self.body.Append({at, length});
       return 0;
     };
     this->settings.on_message_complete = [](http_parser* parser) {
@@ -250,7 +248,14 @@
     this->started = this->started || !bytes.empty();
     while (!this->whole && this->used < bytes.size()) {
       const std::string_view rest = bytes.substr(this->used);
-      this->used += this->head_fed ? this->Feed(rest) : this->ReadHead(rest);
+      if (this->head_fed) {
+        this->used += this->Feed(rest);
+      } else {
+        const std::size_t taken = this->ReadHead(rest);
+        this->used += taken;
+        this->head_bytes += taken;
+        this->invalid = this->invalid || this->head_bytes > kMaxAnswerHeadBytes;
+      }
       if (this->invalid) return ReadState::kInvalid;
     }
     return this->whole ? ReadState::kComplete : ReadState::kNeedMore;
@@ -294,6 +299,7 @@
     this->head_fed = true;
     const std::string lines = std::exchange(this->head, std::string());
     this->Feed(lines);
+    this->headers_held = net::HeldBytes(this->collector.headers);
   }
 
   /// Has the library read `bytes`, or the end of the connection without any.
@@ -322,11 +328,14 @@
   std::size_t max_body_bytes;
   http_parser parser{};
   http_parser_settings settings{};
-  std::string head;  ///< Bytes of a head that is not whole.
+  std::string head;            ///< Bytes of a head that is not whole.
+  std::size_t head_bytes = 0;  ///< Of interim answers too.
   HttpAnswer answer;
+  BodyBuffer body;
   HeaderCollector collector;
-  bool head_fed = false;   ///< The library has read the head.
-  bool head_done = false;  ///< Further fields are trailers.
+  std::size_t headers_held = 0;  ///< Bytes of memory.
+  bool head_fed = false;         ///< The library has read the head.
+  bool head_done = false;        ///< Further fields are trailers.
   bool message_ended = false;
   bool whole = false;
   bool invalid = false;
@@ -348,10 +357,12 @@
 std::size_t AnswerReader::Used() const { return this->impl->used; }
 bool AnswerReader::KeepAlive() const { return this->impl->keep_alive; }
 bool AnswerReader::TooLarge() const { return this->impl->too_large; }
-std::size_t AnswerReader::BodySize() const {
-  return this->impl->answer.body.size();
+std::size_t AnswerReader::HeldBytes() const {
+  return this->impl->head.capacity() + this->impl->headers_held +
+         this->impl->body.HeldBytes();
 }
 HttpAnswer AnswerReader::Take() {
+  this->impl->answer.body = this->impl->body.Take();
   this->impl->answer.headers = std::move(this->impl->collector.headers);
   return std::move(this->impl->answer);
 }
--- a/src/net/message_reader.h
+++ b/src/net/message_reader.h
@@ -91,8 +91,8 @@
 
   bool TooLarge() const;
 
-  /// Bytes of the body read so far.
-  std::size_t BodySize() const;
+  /// Bytes of memory that hold the answer.
+  std::size_t HeldBytes() const;
 
   HttpAnswer Take();
 
--- a/src/net/server_links.cc
+++ b/src/net/server_links.cc
@@ -96,7 +96,6 @@
 
   void Finish(Link& link, TransferResult result, bool reusable);
   void Retire(Link& link);
-  std::size_t BufferedBytes() const;
   /// Gives up the largest unfinished answers while all together exceed the
   /// limit.
   void LimitBufferedBytes();
@@ -105,6 +104,7 @@
   TransferId last_id = 0;
   std::uint64_t opened = 0;
   std::size_t max_buffered_bytes = kDefaultMaxBufferedBytes;
+  std::size_t buffered_bytes = 0;  ///< Over all connections.
   std::map<Link*, std::unique_ptr<Link>> links;
   std::map<TransferId, Link*> busy;
   std::map<Address, std::vector<Link*>> idle;
@@ -237,9 +237,23 @@
     }
   }
 
-  /// Bytes of the unfinished answer.
-  std::size_t BufferedBytes() const {
-    return this->exchange && this->reader ? this->reader->BodySize() : 0;
+  /// Bytes of memory that hold the unfinished answer.
+  std::size_t BufferedBytes() const { return this->buffered_bytes; }
+
+  /// Brings what the owner counts up to date. Call when the answer has grown or
+  /// is not kept any more.
+  void CountBuffered() {
+    const std::size_t bytes =
+        this->exchange && this->reader ? this->reader->HeldBytes() : 0;
+    this->owner.buffered_bytes += bytes - this->buffered_bytes;
+    this->buffered_bytes = bytes;
+  }
+
+  /// Ends with the exchange what was kept for it.
+  void EndExchange() {
+    this->exchange.reset();
+    this->reader.reset();
+    this->CountBuffered();
   }
 
   void GiveUpAnswer() { this->Fail(TransferEnd::kTooLarge); }
@@ -344,13 +358,12 @@
                                             : TransferEnd::kTruncated);
         return;
       }
-      if (state == ReadState::kNeedMore) {
-        this->owner.LimitBufferedBytes();
-        return;
-      }
+      if (state == ReadState::kNeedMore) break;
       bytes.remove_prefix(this->reader->Used());
       if (this->OnAnswer(!bytes.empty())) return;
     }
+    this->CountBuffered();
+    this->owner.LimitBufferedBytes();
   }
 
   /// Takes a whole answer. Returns false when it belongs to another request.
@@ -403,6 +416,7 @@
 
   ACE_SOCK_Stream stream;
   std::optional<AnswerReader> reader;
+  std::size_t buffered_bytes = 0;
   std::string output;
   std::size_t sent_bytes = 0;
   Instant connect_deadline;
@@ -461,7 +475,7 @@
   this->busy.erase(link.id);
   TransferDone done = std::move(link.exchange->done);
   const std::size_t max_idle = link.exchange->max_idle;
-  link.exchange.reset();
+  link.EndExchange();
   if (reusable) {
     auto& pool = this->idle[link.address];
     pool.push_back(&link);
@@ -490,15 +504,8 @@
   this->links.erase(found);
 }
 
-std::size_t ServerLinks::Impl::BufferedBytes() const {
-  std::size_t sum = 0;
-  for (const auto& [id, link] : this->busy) sum += link->BufferedBytes();
-  return sum;
-}
-
 void ServerLinks::Impl::LimitBufferedBytes() {
-  std::size_t sum = this->BufferedBytes();
-  while (sum > this->max_buffered_bytes) {
+  while (this->buffered_bytes > this->max_buffered_bytes) {
     const auto largest = std::ranges::max_element(
         this->busy, {},
         [](const auto& entry) { return entry.second->BufferedBytes(); });
@@ -506,8 +513,7 @@
     observe::LogWarn("answer_given_up",
                      {{"server_address", link.address.ToString()},
                       {"bytes", std::to_string(link.BufferedBytes())},
-                      {"buffered", std::to_string(sum)}});
-    sum -= link.BufferedBytes();
+                      {"buffered", std::to_string(this->buffered_bytes)}});
     link.GiveUpAnswer();
   }
 }
@@ -517,7 +523,7 @@
   if (found == this->busy.end()) return;
   Link& link = *found->second;
   this->busy.erase(found);
-  link.exchange.reset();
+  link.EndExchange();
   link.ResetOnClose();
   this->Retire(link);
 }
@@ -562,7 +568,7 @@
   this->impl->max_buffered_bytes = limit;
 }
 std::size_t ServerLinks::BufferedBytes() const {
-  return this->impl->BufferedBytes();
+  return this->impl->buffered_bytes;
 }
 std::size_t ServerLinks::OpenTo(const Address& address) const {
   return static_cast<std::size_t>(
--- a/src/net/server_links.h
+++ b/src/net/server_links.h
@@ -73,12 +73,12 @@
   /// Closes the idle connections to `address`.
   void CloseIdle(const Address& address);
 
-  /// Bounds the bytes of unfinished answers over all connections. When they
-  /// exceed it, the largest answer is given up as kTooLarge: a faulty server
-  /// may send a body without end.
+  /// Bounds the memory of unfinished answers over all connections, in bytes.
+  /// When they exceed it, the largest answer is given up as kTooLarge: a faulty
+  /// server may send bytes without end.
   void SetMaxBufferedBytes(std::size_t limit);
 
-  /// Bytes of unfinished answers.
+  /// Bytes of memory that hold unfinished answers.
   std::size_t BufferedBytes() const;
 
   /// Ends what is over its time. Call every few milliseconds.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -5,9 +5,11 @@
 #include <utility>
 
 #include "kernel/json.h"
+#include "kernel/memory.h"
 #include "node/caller_limits.h"
 #include "node/claim_stagger.h"
 #include "observe/log.h"
+#include "policy/memory_budget.h"
 
 namespace chervilmux::node {
 namespace {
@@ -30,8 +32,8 @@
 constexpr Duration kCurrentAge = milliseconds(1800);
 constexpr Duration kRegisterRetry = milliseconds(500);
 
-/// Share of the memory that unfinished answers of servers may use.
-constexpr double kAnswersShareOfMemory = 0.25;
+/// How often the memory that messages may use is reckoned anew.
+constexpr Duration kMemoryPeriod = milliseconds(500);
 
 InstanceRecord Introduce(const NodeSettings& settings) {
   InstanceRecord record;
@@ -82,9 +84,6 @@
                     [this](auto era) { this->OnLaterEra(era); }}) {
   this->UseSeeds();
   this->registry.Add("server_links", this->links);
-  this->links.SetMaxBufferedBytes(static_cast<std::size_t>(
-      kAnswersShareOfMemory *
-      static_cast<double>(this->settings.memory_bytes)));
   dispatch::DispatcherSettings limits;
   limits.failure_domain = this->settings.failure_domain;
   limits.retry_ratio = this->settings.retry_ratio;
@@ -201,10 +200,26 @@
   for (const auto& [name, service] : this->key_services) service->Tick(now);
   this->dispatcher->DispatchWaitingRequests(now);
   this->links.CheckTime(now);
+  this->ShareMemory(now);
   this->Sync(now);
   if (this->stop) this->ContinueStop(now);
 }
 
+void Node::ShareMemory(Instant now) {
+  if (now < this->next_memory_share) return;
+  this->next_memory_share = now + kMemoryPeriod;
+  policy::MemoryUse use;
+  use.limit = this->settings.memory_bytes;
+  use.resident = kernel::ResidentBytes();
+  use.messages = this->links.BufferedBytes() + this->client.BufferedBytes() +
+                 this->callers->UnsentBytes();
+  const policy::MemoryBudget budget = policy::ShareMemory(use);
+  this->links.SetMaxBufferedBytes(budget.server_answers);
+  this->client.SetMaxBufferedBytes(budget.control_answers);
+  this->callers->SetMaxUnsentBytes(budget.unsent_answers);
+  this->metrics.Count("chervilmux_resident_bytes").SetTo(use.resident);
+}
+
 bool Node::FollowsStore(Instant now) const {
   const bool leads = std::ranges::any_of(
       this->key_services,
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -63,6 +63,7 @@
 
  private:
   void Tick();
+  void ShareMemory(kernel::Instant now);
   void OnConfiguration();
   /// Puts `decoded`, read from `text`, in force if it is newer.
   void TakeConfiguration(model::Configuration decoded, std::string_view text);
@@ -169,6 +170,7 @@
   /// The newest change of owners passed on, by service.
   std::map<std::string, ViewVersion, std::less<>> passed_on;
   kernel::Instant next_sync = kernel::kNever;
+  kernel::Instant next_memory_share;
   kernel::Instant started_at = kernel::Now();
   bool was_answered = false;  ///< By any peer.
   kernel::Instant next_register = kernel::kNever;
