Review: the time of one answer of the store passes for that of another

Case 9 (DRAIN). The leader freezes; a machine of its zone then asks the store itself. If a tick falls between the answers about the configuration and about the upstreams, an owner of keys that drains gets requests for 1.6 s from the wrong moment.

--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -211,6 +211,7 @@
         self.changes = []
         self.version = 0
         self.silent = False
+        self.jitter_s = 0.0  # added to each answer, at random up to this
         self.doors = []
 
     def door(self):
@@ -262,6 +263,7 @@
             connection.dead = True
             return
         fields.update(ver=fields.get("ver", self.version), nowS=time.monotonic())
+        time.sleep(random.uniform(0, self.jitter_s))
         connection.answer(status, json.dumps(fields).encode(),
                           [("Content-Type", "application/json")])
 
@@ -724,11 +726,11 @@
         self.temporary.cleanup()
 
 
-def run(case, folder):
+def run(case, folder, **settings):
     """Runs case(world), which returns the breaches of the rule as texts."""
     world = None
     try:
-        world = World(folder)
+        world = World(folder, **settings)
         breaches = case(world)
         for breach in breaches:
             world.record("BREACH", breach)
