Review: case 6 registers the new life as soon as it has taken a grant

The case no longer depends on a fixed time between the start of the new life and what it writes to the store; it stays within a heartbeat.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,5 +1,5 @@
-"""An upstream crashes and starts again under its id; 0.6 s later it is cut off from
-the machines for 1.2 s. Do two upstreams hold the same keys?"""
+"""An upstream crashes and starts again under its id. When it writes to the store it is
+cut off from the machines for 1.2 s. Do two upstreams hold the same keys?"""
 
 import os
 import sys
@@ -10,6 +10,7 @@
 
 OVERLAP_S = 0.5  # the rule's "over half a second"
 CUT_S = 1.2
+LONGEST_S = 0.75  # from its start to what it writes; heartbeatS is 0.87
 
 
 def covered(upstreams):
@@ -56,16 +57,15 @@
     if TROUBLE:
         crashed.crash()
         time.sleep(0.3)
-        crashed.start(register_after_s=0.6)
+        # It writes to the store within a heartbeat of its start.
+        crashed.start(register_after_s=LONGEST_S)
         begun = time.monotonic()
-        world.until(lambda: any(s[0] == 2 for s in crashed.spans) or
-                    time.monotonic() - begun > 0.58, 2, "a grant or the time is over")
-        if not any(s[0] == 2 for s in crashed.spans):
-            world.record("no grant reached the new life before it was registered")
-        time.sleep(max(0.0, begun + 0.58 - time.monotonic()))
+        while time.monotonic() - begun < LONGEST_S and all(s[0] < 2 for s in crashed.spans):
+            time.sleep(0.005)
+        time.sleep(0.05)
         world.record("cut-begins", crashed.name)
         crashed.listener.cut()
-        time.sleep(max(0.0, begun + 0.6 - time.monotonic()))
+        time.sleep(0.02)
         crashed.register()
         time.sleep(CUT_S)
         crashed.listener.heal()
