--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -683,8 +683,10 @@
             time.sleep(0.02)
         raise CannotRun("did not happen: " + what)
 
-    def client(self, kind, path, per_s, method="GET", keyed=False, deadline_ms=1200):
-        """Sends requests on new connections until stop_clients is set."""
+    def client(self, kind, path, per_s, method="GET", keyed=False, deadline_ms=1200,
+               choose=None):
+        """Sends requests on new connections until stop_clients is set. `choose` gives
+        the instance and the key of each, or None; otherwise both are drawn."""
         def send(instance, request_id, key):
             head = "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n" % (
                 method, path, HOST, request_id, deadline_ms)
@@ -704,12 +706,16 @@
 
         def loop():
             while not self.stop_clients.wait(random.expovariate(per_s)):
+                instance, key = random.choice(self.instances), random.randrange(65536)
+                if choose is not None:
+                    chosen = choose()
+                    if chosen is None:
+                        continue
+                    instance, key = chosen
                 with self.lock:
                     self.sent += 1
-                instance = random.choice(self.instances)
                 threading.Thread(target=send, daemon=True, args=(
-                    instance, "%016x" % random.getrandbits(64),
-                    random.randrange(65536))).start()
+                    instance, "%016x" % random.getrandbits(64), key)).start()
         thread = threading.Thread(target=loop, daemon=True)
         self.clients.append(thread)
         thread.start()
