Each copy of a store table has a proof of its own

Cause: the call for the configuration (0.7 s) told the freshness of all tables. The call for the servers (5 s), made again while the store was still silent, hung on for up to 6.5 s after its return, and the knowledge counted as fresh meanwhile, here and at peers.

Ruled out: a lost report; news that peers had (all hang alike).

Change: the proof is kept with each copy and moved only by answers about its table, the store's or those of peers, who tell the version that they prove. The call for the servers waits as briefly as that for the configuration. News find the proof of the copy before them, and of two changes found together the first counts. An answer that is taken in later than its wait allows proves nothing about the time since. The sync reply has a new field beside the old ones; an older build's age counts for the configuration alone.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -26,7 +26,8 @@
 /// Length of one waiting call for changes. Longer costs fewer calls; shorter
 /// finds a connection that died silently sooner.
 constexpr Duration kFollowWait = kernel::seconds(5);
-/// The same for the configuration: each answer proves that the store is heard.
+/// The same for tables whose news must be in force after 2 s: each answer
+/// proves the copy of its table.
 constexpr Duration kProofWait = milliseconds(700);
 /// A path without a route is called unknown only if the configuration is known
 /// to be at most this old: a new one must be in force after 2 s.
@@ -78,11 +79,10 @@
                           {[this] { this->OnConfiguration(); },
                            [this] { this->OnProofFailed(); },
                            [this](auto era) { this->OnLaterEra(era); }}),
-      server_table(this->store, std::string(this->formats.ServerTable()),
-                   kFollowWait,
-                   {[this] { this->OnServerRows(); },
-                    [this] { this->NoteStoreTrouble(kernel::Now()); },
-                    [this](auto era) { this->OnLaterEra(era); }}),
+      server_table(
+          this->store, std::string(this->formats.ServerTable()), kProofWait,
+          {[this] { this->OnServerRows(); }, [this] { this->OnProofFailed(); },
+           [this](auto era) { this->OnLaterEra(era); }}),
       instances_table(this->store, std::string(kInstancesTable), kFollowWait,
                       {[this] { this->OnInstances(); }, [] {},
                        [this](auto era) { this->OnLaterEra(era); }}),
@@ -195,9 +195,14 @@
           &this->instances_table, &this->ranges_table};
 }
 
+std::array<TableFollower*, 2> Node::ProvedTables() {
+  return {&this->configuration_table, &this->server_table};
+}
+
 void Node::Tick() {
   const Instant now = kernel::Now();
-  this->readers.OnStoreAnswered(this->configuration_table.HeardAt());
+  this->readers.NoteKnownAsOf(std::min(this->configuration_table.KnownAsOf(),
+                                       this->server_table.KnownAsOf()));
   const bool follows = this->FollowsStore(now);
   // Leaders tell owners sooner than the store does.
   const bool owners_told =
@@ -210,9 +215,8 @@
   }
   this->Register();
   this->UseServers();
-  const auto age = this->readers.KnowledgeAge(now);
-  this->servers_true_until = this->readers.KnownAsOf();
-  this->dispatcher->SetConfigurationIsCurrent(age && *age < kCurrentAge);
+  this->dispatcher->SetConfigurationIsCurrent(
+      this->configuration_table.KnownAsOf() > now - kCurrentAge);
   for (const auto& [name, service] : this->key_services) service->Tick(now);
   this->dispatcher->DispatchWaitingRequests(now);
   this->links.CheckTime(now);
@@ -262,12 +266,13 @@
   return leads || this->readers.Follows(now);
 }
 
-/// A connection to the store that died without a sign is noticed first by the
-/// call with the shortest wait; the others may hang on dead ones too.
+/// A connection to the store that died without a sign is noticed first by a
+/// call with a short wait; those with a long one may hang on dead ones too.
 void Node::OnProofFailed() {
   const Instant now = kernel::Now();
   this->NoteStoreTrouble(now);
-  for (TableFollower* follower : this->Followers()) follower->Renew(now);
+  this->instances_table.Renew(now);
+  this->ranges_table.Renew(now);
 }
 
 /// Other tables' calls may wait for changes of the earlier era for seconds.
@@ -318,8 +323,9 @@
   }
   this->ignored_domains = ignored;
   if (!follows) domains.clear();
-  const auto change = this->evacuation.Update(domains, this->servers_true_until,
-                                              this->settings.evacuation_bound);
+  const auto change =
+      this->evacuation.Update(domains, this->configuration_table.KnownAsOf(),
+                              this->settings.evacuation_bound);
   if (!change.IsEmpty()) this->NoteEvacuation(change);
 }
 
@@ -494,7 +500,7 @@
   const std::uint64_t era = this->server_table.Copy().Era();
   if (era > this->servers_era) this->servers.NoteRestored();
   this->servers_era = era;
-  this->servers.Update(listed, this->servers_true_until, kernel::Now());
+  this->servers.Update(listed, this->server_table.KnownAsOf(), kernel::Now());
 }
 
 void Node::UseServers() {
@@ -511,7 +517,8 @@
   observe::LogInfo("servers_in_use", {{"count_by_service", counts}});
   this->TellKeyServicesOfServers(now);
   this->CheckEvacuatedDomains();
-  this->dispatcher->SetServers(std::move(directory), this->servers_true_until);
+  this->dispatcher->SetServers(std::move(directory),
+                               this->servers.UnchangedUntil());
 }
 
 void Node::OnInstances() {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,6 +5,7 @@
 #ifndef CHERVILMUX_NODE_NODE_H_
 #define CHERVILMUX_NODE_NODE_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -88,6 +89,8 @@
   void Register();
   bool RegistrationIsLost();
   void OnProofFailed();
+  /// The copies that must be fresh, each proved by short calls of its own.
+  std::array<TableFollower*, 2> ProvedTables();
   void OnLaterEra(std::uint64_t era);
   void NoteStoreTrouble(kernel::Instant at);
   void Sync(kernel::Instant now);
@@ -108,6 +111,8 @@
   /// Adds what the store has lost and this instance knows.
   void AddWhatTheStoreLost(const SyncRequest& request, SyncReply& reply) const;
   void TakeWhatTheStoreLost(const SyncReply& reply);
+  /// Takes in how fresh the peer's copies are, after its changes.
+  void TakeProofs(const SyncReply& reply, kernel::Instant sent_at);
   void Publish(const ranges::RangeDelta& change);
   void PassOn(const std::string& leader, const std::string& body,
               const std::string& sender);
@@ -199,9 +204,6 @@
   replica::TableVersion registered_at;
   /// The copy that was last searched for that row.
   std::optional<replica::TableVersion> registration_checked;
-  /// Until when the servers in use, and the operators' orders, are known to
-  /// have been the right ones.
-  kernel::Instant servers_true_until = kernel::kNever;
   kernel::Instant store_trouble_at = kernel::kNever;
   /// The course of a planned stop, fixed when it begins: a grace that changes
   /// later doesn't count.
--- a/src/node/node_operators.cc
+++ b/src/node/node_operators.cc
@@ -79,7 +79,16 @@
     this->metrics.Count("chervilmux_owners_term", label)
         .SetTo(service->Owners().term);
   }
-  if (const auto age = this->readers.KnowledgeAge(kernel::Now())) {
+  const kernel::Instant now = kernel::Now();
+  for (const TableFollower* follower : this->ProvedTables()) {
+    if (follower->KnownAsOf() == kernel::kNever) continue;
+    this->metrics
+        .Count("chervilmux_store_table_age_ms",
+               observe::Label("table", follower->Table()))
+        .SetTo(static_cast<std::uint64_t>(
+            kernel::ToMs(now - follower->KnownAsOf())));
+  }
+  if (const auto age = this->readers.KnowledgeAge(now)) {
     this->metrics.Count("chervilmux_store_knowledge_age_ms")
         .SetTo(static_cast<std::uint64_t>(kernel::ToMs(*age)));
   }
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -198,13 +198,6 @@
 
 void Node::OnSyncReply(const SyncReply& reply, Instant sent_at) {
   this->was_answered = true;
-  // What belongs to an earlier era says nothing about the store as it is.
-  const bool counts =
-      reply.knowledge_era >= this->configuration_table.Copy().Era();
-  if (reply.knowledge_age_ms >= 0 && counts) {
-    this->readers.OnPeerKnowledge(sent_at,
-                                  milliseconds(reply.knowledge_age_ms));
-  }
   if (reply.store_trouble_ms_ago >= 0) {
     this->NoteStoreTrouble(kernel::Now() -
                            milliseconds(reply.store_trouble_ms_ago));
@@ -213,6 +206,7 @@
     const auto changes = reply.tables.find(follower->Table());
     if (changes != reply.tables.end()) follower->ApplyFromPeer(changes->second);
   }
+  this->TakeProofs(reply, sent_at);
   this->TakeWhatTheStoreLost(reply);
   for (const auto& view : reply.views) {
     const auto service = this->key_services.find(view.service);
@@ -233,6 +227,22 @@
   }
 }
 
+void Node::TakeProofs(const SyncReply& reply, Instant sent_at) {
+  for (TableFollower* follower : this->ProvedTables()) {
+    const auto proof = reply.proofs.find(follower->Table());
+    if (proof == reply.proofs.end()) continue;
+    follower->ApplyPeerProof(proof->second.as_of,
+                             sent_at - milliseconds(proof->second.age_ms));
+  }
+  const bool is_older_build = reply.proofs.empty();
+  if (!is_older_build || reply.knowledge_age_ms < 0) return;
+  // What belongs to an earlier era says nothing about the store as it is.
+  const replica::TableVersion as_of = this->configuration_table.Copy().AsOf();
+  if (reply.knowledge_era < as_of.era) return;
+  this->configuration_table.ApplyPeerProof(
+      as_of, sent_at - milliseconds(reply.knowledge_age_ms));
+}
+
 void Node::TakeWhatTheStoreLost(const SyncReply& reply) {
   if (!reply.configuration.empty()) {
     auto decoded = this->formats.DecodeConfiguration(reply.configuration);
@@ -317,6 +327,11 @@
     if (current > since && missed_changes)
       reply.views.push_back(service->Owners());
   }
+  for (const TableFollower* follower : this->ProvedTables()) {
+    if (follower->KnownAsOf() == kernel::kNever) continue;
+    reply.proofs[follower->Table()] = {
+        follower->Copy().AsOf(), kernel::ToMs(now - follower->KnownAsOf())};
+  }
   if (const auto age = this->readers.KnowledgeAge(now)) {
     reply.knowledge_age_ms = kernel::ToMs(*age);
     reply.knowledge_era = this->configuration_table.Copy().Era();
--- a/src/node/peer_message.cc
+++ b/src/node/peer_message.cc
@@ -96,6 +96,26 @@
   return valid ? json.asInt64() : -1;
 }
 
+Json::Value ToJson(const TableProof& proof) {
+  Json::Value json(Json::arrayValue);
+  json.append(Json::UInt64(proof.as_of.era));
+  json.append(Json::UInt64(proof.as_of.version));
+  json.append(Json::Int64(proof.age_ms));
+  return json;
+}
+
+std::optional<TableProof> ProofFrom(const Json::Value& json) {
+  constexpr Json::ArrayIndex kFields = 3;
+  if (!json.isArray() || json.size() < kFields || !json[0].isUInt64() ||
+      !json[1].isUInt64()) {
+    return std::nullopt;
+  }
+  const TableProof proof{{json[0].asUInt64(), json[1].asUInt64()},
+                         MsFrom(json[2])};
+  if (proof.age_ms < 0) return std::nullopt;
+  return proof;
+}
+
 Json::Value ToJson(const NoticeToLeader& notice) {
   Json::Value json(Json::arrayValue);
   json.append(notice.server.id);
@@ -265,6 +285,8 @@
   for (const auto& service : reply.leads) json["leads"].append(service);
   for (const auto& [service, age_ms] : reply.leader_heard_ms_ago)
     json["leader_heard_ms_ago"][service] = Json::Int64(age_ms);
+  for (const auto& [table, proof] : reply.proofs)
+    json["proofs"][table] = ToJson(proof);
   json["store_trouble_ms_ago"] = Json::Int64(reply.store_trouble_ms_ago);
   json["knowledge_age_ms"] = Json::Int64(reply.knowledge_age_ms);
   json["knowledge_era"] = Json::UInt64(reply.knowledge_era);
@@ -309,6 +331,13 @@
       if (age_ms >= 0) reply.leader_heard_ms_ago[service] = age_ms;
     }
   }
+  const Json::Value& proofs = json["proofs"];
+  if (proofs.isObject()) {
+    for (const auto& table : proofs.getMemberNames()) {
+      if (const auto proof = ProofFrom(proofs[table]))
+        reply.proofs[table] = *proof;
+    }
+  }
   reply.store_trouble_ms_ago = MsFrom(json["store_trouble_ms_ago"]);
   reply.knowledge_age_ms = MsFrom(json["knowledge_age_ms"]);
   reply.knowledge_era = kernel::UintOr(json, "knowledge_era");
--- a/src/node/peer_message.h
+++ b/src/node/peer_message.h
@@ -81,6 +81,13 @@
   bool all = false;  ///< The rows are the whole table.
 };
 
+/// What the sender knows of the freshness of one of its copies.
+struct TableProof {
+  replica::TableVersion as_of;  ///< Of the copy.
+  std::int64_t age_ms = 0;      ///< Since it is known to have been the table.
+  bool operator==(const TableProof&) const = default;
+};
+
 /// "This is what you lack."
 struct SyncReply {
   std::map<std::string, TableChanges> tables;
@@ -93,8 +100,11 @@
   /// Time since the sender last heard of a working leader, by service, where
   /// another instance leads.
   std::map<std::string, std::int64_t> leader_heard_ms_ago;
+  /// By table; builds before send none, and what they send instead is known to
+  /// hold for the configuration only.
+  std::map<std::string, TableProof> proofs;
   /// How old the sender's knowledge of the store's tables may be; negative:
-  /// unknown.
+  /// unknown. Read by builds that know no proofs.
   std::int64_t knowledge_age_ms = -1;
   /// The era to which that knowledge belongs.
   std::uint64_t knowledge_era = 0;
--- a/src/node/server_list.cc
+++ b/src/node/server_list.cc
@@ -161,6 +161,7 @@
   });
   this->listed = current;
   this->rows_changed = true;
+  this->earliest_until = std::min(this->earliest_until, unchanged_until);
   this->restored = false;
   this->ForgetOldest();
 }
@@ -195,6 +196,9 @@
   // Asked every few milliseconds: only rows and time for missing ones matter.
   if (!this->rows_changed && this->missing.empty()) return false;
   this->rows_changed = false;
+  // Without new rows only servers that were missing go.
+  this->in_use_until =
+      std::min(std::exchange(this->earliest_until, Instant::max()), now);
   ServersById next = this->listed;
   for (const auto& [id, gap] : this->missing) {
     const auto server = this->in_use.find(id);
--- a/src/node/server_list.h
+++ b/src/node/server_list.h
@@ -58,8 +58,12 @@
   /// whether that is news; then Update() has to follow with the same rows.
   bool LearnFromPeer(std::span<const Departure> told, kernel::Instant now);
 
-  /// The servers in use. Returns whether they changed since the last call.
+  /// Chooses the servers in use. Returns whether they changed since the last
+  /// call.
   bool Refresh(kernel::Instant now);
+  /// Until when the rows are known to have been as they were before the change
+  /// that the last Refresh() found; kNever when that is unknown.
+  kernel::Instant UnchangedUntil() const { return this->in_use_until; }
   /// Servers that are remembered, in use or not.
   std::size_t Remembered() const { return this->known.size(); }
   const ServersById& InUse() const { return this->in_use; }
@@ -98,7 +102,10 @@
   std::vector<Departure> departures;
   kernel::Instant trouble_at = kernel::kNever;
   bool rows_changed = false;  ///< Since the last Refresh().
-  bool restored = false;      ///< Since the last Update().
+  /// The earliest `unchanged_until` since the last Refresh().
+  kernel::Instant earliest_until = kernel::Instant::max();
+  kernel::Instant in_use_until = kernel::kNever;
+  bool restored = false;  ///< Since the last Update().
 };
 
 }  // namespace chervilmux::node
--- a/src/node/store_readers.cc
+++ b/src/node/store_readers.cc
@@ -32,14 +32,10 @@
   return true;
 }
 
-void StoreReaders::OnStoreAnswered(Instant at) {
+void StoreReaders::NoteKnownAsOf(Instant at) {
   this->known_as_of = std::max(this->known_as_of, at);
 }
 
-void StoreReaders::OnPeerKnowledge(Instant asked_at, Duration age) {
-  this->known_as_of = std::max(this->known_as_of, asked_at - age);
-}
-
 void StoreReaders::OnPeerSilent(const std::string& address, Instant now) {
   this->silent_until[address] = now + kSilentTime;
 }
--- a/src/node/store_readers.h
+++ b/src/node/store_readers.h
@@ -3,9 +3,9 @@
 ///
 /// Answers the price of calls to the store: one instance of each failure domain
 /// follows it for the others. Nobody trusts a reader by its role: knowledge has
-/// an age, counted from the last answer of the store to anybody, and an
-/// instance whose knowledge grows old follows the store itself. So it does not
-/// matter which readers the store turns away, or whose calls hang without a
+/// an age, counted from the proof of the table that was proved longest ago, and
+/// an instance whose knowledge grows old follows the store itself. So it does
+/// not matter which readers the store turns away, or whose calls hang without a
 /// sign.
 
 #ifndef CHERVILMUX_NODE_STORE_READERS_H_
@@ -50,18 +50,12 @@
     this->leaders = std::move(names);
   }
 
-  /// The store answered this instance.
-  void OnStoreAnswered(kernel::Instant at);
-  /// A peer's knowledge was as old as `age` when it was asked at `asked_at`.
-  void OnPeerKnowledge(kernel::Instant asked_at, kernel::Duration age);
+  /// All copies of tables that must be fresh were the whole tables at `at`.
+  void NoteKnownAsOf(kernel::Instant at);
   /// A peer did not answer.
   void OnPeerSilent(const std::string& address, kernel::Instant now);
 
-  /// When the store last answered somebody whose news are known here; kNever
-  /// before the first answer.
-  kernel::Instant KnownAsOf() const { return this->known_as_of; }
-
-  /// Time since then.
+  /// Time since the last NoteKnownAsOf(); nothing before the first proof.
   std::optional<kernel::Duration> KnowledgeAge(kernel::Instant now) const;
 
   /// The address of the instance from which this one hears of the leaders, so
--- a/src/node/table_follower.cc
+++ b/src/node/table_follower.cc
@@ -20,6 +20,10 @@
 constexpr Duration kLongestRetry = milliseconds(800);
 /// A call that is younger may have been made on a connection that works.
 constexpr Duration kRenewAfter = milliseconds(1000);
+/// The store answers a call within this long after its wait. An answer that is
+/// taken in later was held up on its way, or by a process that stood still, and
+/// proves nothing about the time since.
+constexpr Duration kAnswerTime = milliseconds(300);
 
 }  // namespace
 
@@ -105,13 +109,21 @@
     this->Pause();
     return;
   }
+  const Instant now = kernel::Now();
   this->listed = true;
   this->lost = false;
   this->failures = 0;
-  this->heard_at = kernel::Now();
-  this->next_call = this->heard_at;
+  this->next_call = now;
   this->TakeTable(reply.rows, as_of);
   this->events.on_news();
+  this->OnAnswered(now);
+}
+
+void TableFollower::OnAnswered(Instant answered_at) {
+  const Duration wait = this->listing ? Duration(0) : this->wait;
+  const Instant latest = this->called_at + wait + kAnswerTime;
+  this->known_as_of =
+      std::max(this->known_as_of, std::min(answered_at, latest));
 }
 
 bool TableFollower::TakeTable(const std::vector<store::Row>& rows,
@@ -142,13 +154,13 @@
   if (this->lost) {
     observe::LogInfo("store_regained", {{"table", this->table}});
   }
+  const Instant now = kernel::Now();
   this->lost = false;
   this->failures = 0;
-  this->heard_at = kernel::Now();
-  this->next_call =
-      reply.rows.empty() ? this->heard_at : this->heard_at + kGatherTime;
+  this->next_call = reply.rows.empty() ? now : now + kGatherTime;
   if (this->copy.ApplyChanges(reply.rows, {reply.era, reply.version}))
     this->events.on_news();
+  this->OnAnswered(now);
 }
 
 void TableFollower::OnFailure(store::StoreStatus status) {
@@ -186,4 +198,11 @@
   if (news) this->events.on_news();
 }
 
+void TableFollower::ApplyPeerProof(replica::TableVersion as_of,
+                                   Instant known_at) {
+  const bool covers_it =
+      as_of.era == this->copy.Era() && as_of <= this->copy.AsOf();
+  if (covers_it) this->known_as_of = std::max(this->known_as_of, known_at);
+}
+
 }  // namespace chervilmux::node
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -2,6 +2,11 @@
 /// Defines how this instance keeps its copy of one store table up to date: one
 /// listing, then a waiting request for changes at all times. A later era of the
 /// store begins with a listing again.
+///
+/// Each copy has a proof of its own: the last time at which it is known to have
+/// been the whole table. Only answers about this table move it, the store's to
+/// calls made here or those that a peer passes on, and never the age of another
+/// table or the start of a call that still waits.
 
 #ifndef CHERVILMUX_NODE_TABLE_FOLLOWER_H_
 #define CHERVILMUX_NODE_TABLE_FOLLOWER_H_
@@ -43,6 +48,10 @@
   /// Takes in what a peer knows.
   void ApplyFromPeer(const TableChanges& changes);
 
+  /// A peer's copy, whose changes this one has been told, was the whole table
+  /// at `known_at`. Proves nothing if this copy is of another era or older.
+  void ApplyPeerProof(replica::TableVersion as_of, kernel::Instant known_at);
+
   const replica::RowReplica& Copy() const { return this->copy; }
   const std::string& Table() const { return this->table; }
 
@@ -53,14 +62,18 @@
   /// Whether the table was read whole once.
   bool Listed() const { return this->listed; }
 
-  /// When the store last answered; kNever before that.
-  kernel::Instant HeardAt() const { return this->heard_at; }
+  /// The last time at which the copy is known to have been the whole table;
+  /// kNever before the first proof. While `on_news` runs, the time of the copy
+  /// before that news.
+  kernel::Instant KnownAsOf() const { return this->known_as_of; }
 
  private:
   void OnReply(const store::RowsReply& reply);
   void OnList(const store::RowsReply& reply);
   void OnChanges(const store::RowsReply& reply);
   void OnFailure(store::StoreStatus status);
+  /// The store has answered the last call about the table as it then was.
+  void OnAnswered(kernel::Instant answered_at);
   void GiveUpCall();
   /// Puts off the next call, for longer after each failure.
   void Pause();
@@ -82,7 +95,7 @@
   bool lost = false;      ///< The last call failed.
   unsigned failures = 0;  ///< Calls in a row that brought nothing to use.
   kernel::Instant next_call = kernel::kNever;
-  kernel::Instant heard_at = kernel::kNever;
+  kernel::Instant known_as_of = kernel::kNever;
 };
 
 }  // namespace chervilmux::node
--- a/test/correctness/replica_test.cc
+++ b/test/correctness/replica_test.cc
@@ -255,12 +255,26 @@
     CHECK(told.value().configuration == reply.configuration);
     CHECK(told.value().departures == reply.departures);
   }
+  SUBCASE("a reply tells how fresh each copy is") {
+    node::SyncReply reply;
+    reply.proofs = {{"op", {{3, 9}, 40}}, {"servers", {{3, 12}, 700}}};
+    const auto told = node::DecodeSyncReply(node::EncodeSyncReply(reply));
+    REQUIRE(told);
+    CHECK(told.value().proofs == reply.proofs);
+    const auto odd = node::DecodeSyncReply(
+        R"({"proofs":{"a":[1,2,-3],"b":7,"c":[1,2],"d":[-1,2,3],"e":[1,2,3]}})");
+    REQUIRE(odd);
+    CHECK(odd.value().proofs ==
+          std::map<std::string, node::TableProof>{{"e", {{1, 2}, 3}}});
+    CHECK(node::DecodeSyncReply(R"({"proofs":[1]})").value().proofs.empty());
+  }
   SUBCASE("builds that tell neither are understood") {
     CHECK_FALSE(decoded.value().configuration_version);
     const auto older = node::DecodeSyncReply(R"({"knowledge_age_ms":4})");
     REQUIRE(older);
     CHECK(older.value().configuration.empty());
     CHECK(older.value().departures.empty());
+    CHECK(older.value().proofs.empty());
   }
   SUBCASE("departures that can't be read are left out") {
     const auto odd = node::DecodeSyncReply(
--- a/test/correctness/server_list_test.cc
+++ b/test/correctness/server_list_test.cc
@@ -346,6 +346,29 @@
   }
 }
 
+// Failure: of two changes that come together the first counts from the second,
+// and a server that drains gets requests too long.
+TEST_CASE("changes that are found together count from the first") {
+  const Instant start(seconds(100));
+  ServerList list;
+  ServersById rows{{"a", MakeServer("a", 1)}, {"b", MakeServer("b", 1)}};
+  list.Update(rows, kernel::kNever, start);
+  CHECK(list.Refresh(start));
+  CHECK(list.UnchangedUntil() == kernel::kNever);
+  rows["a"] = MakeServer("a", 2, kLife, true);
+  list.Update(rows, start + milliseconds(100), start + milliseconds(500));
+  rows["b"] = MakeServer("b", 2, kLife, true);
+  list.Update(rows, start + milliseconds(500), start + milliseconds(505));
+  CHECK(list.Refresh(start + milliseconds(510)));
+  CHECK(list.UnchangedUntil() == start + milliseconds(100));
+  SUBCASE("and those after them from the proof that came between") {
+    rows["c"] = MakeServer("c", 1);
+    list.Update(rows, start + seconds(1), start + seconds(2));
+    CHECK(list.Refresh(start + seconds(2)));
+    CHECK(list.UnchangedUntil() == start + seconds(1));
+  }
+}
+
 TEST_CASE("the servers that are remembered are limited in number") {
   ServerList list;
   Instant now(seconds(100));
--- a/test/correctness/store_readers_test.cc
+++ b/test/correctness/store_readers_test.cc
@@ -37,7 +37,7 @@
       if (reader.Follows(this->now)) this->following.insert(name);
       const bool answered =
           this->following.contains(name) && !this->hanging.contains(name);
-      if (answered) reader.OnStoreAnswered(this->now);
+      if (answered) reader.NoteKnownAsOf(this->now);
       if (this->turn % 5 == 0) this->Ask(name, reader);
     }
     this->turn += 1;
@@ -60,7 +60,7 @@
       if (this->stopped.contains(source)) {
         reader.OnPeerSilent(source, this->now);
       } else if (const auto age = peer.KnowledgeAge(this->now)) {
-        reader.OnPeerKnowledge(this->now, *age);
+        reader.NoteKnownAsOf(this->now - *age);
       }
     }
   }
@@ -139,7 +139,7 @@
     for (auto* reader : {&seed, &other}) {
       reader->SetSeeds({"x"});
       CHECK(reader->Follows(fleet.now));
-      reader->OnStoreAnswered(fleet.now);
+      reader->NoteKnownAsOf(fleet.now);
     }
     CHECK(seed.Follows(fleet.now + milliseconds(100)));
     CHECK_FALSE(other.Follows(fleet.now + milliseconds(100)));
--- a/test/correctness/table_follower_test.cc
+++ b/test/correctness/table_follower_test.cc
@@ -110,6 +110,75 @@
 
 }  // namespace
 
+// Failure: an instance takes its copy of the servers for fresh while nobody has
+// answered about the servers for seconds, and sends requests to one that has
+// left.
+TEST_CASE("a copy is proved by answers about its own table") {
+  OpenStore store;
+  Instant known_at_news;
+  TableFollower* reader = nullptr;
+  TableFollower follower(store, "servers", milliseconds(700),
+                         {[&] { known_at_news = reader->KnownAsOf(); }, [] {}});
+  reader = &follower;
+  CHECK(follower.KnownAsOf() == kernel::kNever);
+  const Instant start = kernel::Now();
+  follower.CheckTime(start);
+  store.Answer(0, "a", 5, 1);
+  const Instant listed = follower.KnownAsOf();
+  CHECK(listed >= start);
+  // The pause after news is over.
+  const Instant waiting = kernel::Now() + seconds(1);
+  follower.CheckTime(waiting);
+  REQUIRE(store.calls.size() == 2);
+
+  SUBCASE("not by a call that waits or fails") {
+    CHECK(follower.KnownAsOf() == listed);
+    store.Answer(1, store::StoreStatus::kNoAnswer, 0);
+    CHECK(follower.KnownAsOf() == listed);
+  }
+  SUBCASE("also by one without changes") {
+    store.Answer(1, store::StoreStatus::kDone, 1, 6);
+    CHECK(follower.KnownAsOf() > listed);
+  }
+  SUBCASE("and news find the proof of the copy before") {
+    store.Answer(1, "b", 6, 1);
+    CHECK(known_at_news == listed);
+    CHECK(follower.KnownAsOf() > listed);
+  }
+  SUBCASE("by a peer whose copy is no newer") {
+    const Instant asked_at = kernel::Now();
+    follower.ApplyPeerProof({1, 4}, asked_at);
+    CHECK(follower.KnownAsOf() == asked_at);
+    SUBCASE("which proves no less when it is told late") {
+      follower.ApplyPeerProof({1, 4}, listed);
+      CHECK(follower.KnownAsOf() == asked_at);
+    }
+  }
+  SUBCASE("not by a peer whose changes are not known here") {
+    follower.ApplyPeerProof({1, 6}, kernel::Now());
+    CHECK(follower.KnownAsOf() == listed);
+  }
+  SUBCASE("not by a peer with a copy of another era") {
+    follower.ApplyPeerProof({0, 4}, kernel::Now());
+    follower.ApplyPeerProof({2, 4}, kernel::Now());
+    CHECK(follower.KnownAsOf() == listed);
+  }
+}
+
+// Failure: an instance that stood still reads an answer from before, and tells
+// its peers that it knows the servers as they are now.
+TEST_CASE("an answer that was held up proves nothing about the time since") {
+  OpenStore store;
+  TableFollower follower(store, "servers", milliseconds(700), {[] {}, [] {}});
+  const Instant called_at = kernel::Now() - seconds(4);
+  follower.CheckTime(called_at);
+  store.Answer(0, "a", 5, 1);
+  CHECK(follower.KnownAsOf() >= called_at);
+  CHECK(follower.KnownAsOf() <= called_at + milliseconds(500));
+  follower.CheckTime(called_at + seconds(10));
+  REQUIRE(store.calls.size() == 2);
+}
+
 TEST_CASE("a follower whose store comes back from an older copy") {
   OpenStore store;
   int news = 0;
--- a/test/fakes/prepared_platform.py
+++ b/test/fakes/prepared_platform.py
@@ -66,10 +66,13 @@
 
 
 class Door:
-    """One address of the store. `fault` is None, "busy", "silent" or "drop"."""
+    """One address of the store. `fault` is None, "busy", "silent" or "drop". Answers
+    about a table in `late_s` come so many seconds after they are made."""
 
     def __init__(self, store):
         self.fault = None
+        self.late_s = {}
+        self.waits_since = {}  # table -> when the last call for its changes came
         door = self
 
         class StoreHandler(Handler):
@@ -105,6 +108,9 @@
 
     def serve(self, handler, door, action):
         self.calls += 1
+        url = urlparse(handler.path)
+        if url.path == "/-/rows-feed":
+            door.waits_since[parse_qs(url.query)["table"][0]] = time.monotonic()
         handler.store_era = self.era
         fault = self.fault or door.fault
         if fault == "busy":
@@ -174,8 +180,9 @@
             row["value"] = base64.b64encode(value).decode()
         return row
 
-    def _reply(self, handler, status, **fields):
-        fields.update(ver=self.version, nowS=time.monotonic())
+    def _reply(self, handler, status, version=None, **fields):
+        fields.update(ver=self.version if version is None else version,
+                      nowS=time.monotonic())
         handler.store_era = self.era
         handler.answer(status, json.dumps(fields).encode(),
                        [("Content-Type", "application/json")])
@@ -234,10 +241,13 @@
                 if door.fault == "silent":
                     break
                 if rows or left <= 0 or self.fault or door.fault:
-                    return self._reply(handler, 200, rows=rows)
+                    break
                 self.lock.wait(min(left, 0.2))
-        time.sleep(30)
-        return None
+            version = self.version
+        time.sleep(30 if door.fault == "silent" else door.late_s.get(table, 0))
+        if door.fault == "silent":
+            return None
+        return self._reply(handler, 200, version, rows=rows)
 
 
 class Backend:
