Test: an owner of which news come late gets nothing late

Cause: the last moment at which an owner was known not to drain was read from the clock of all knowledge, which an answer about the configuration moved too.

--- a/test/processes/freshness_test.py
+++ b/test/processes/freshness_test.py
@@ -6,6 +6,7 @@
 it leaves. Usage: freshness_test.py BUILD_DIR [unittest args]
 """
 import os
+import signal
 import sys
 import threading
 import time
@@ -87,6 +88,28 @@
             time.sleep(0.005)
 
 
+class LateNews(Freshness):
+    # Failure: the time of the answer about the configuration passes for the time up to
+    # which the servers were known, and an owner that drains gets requests too long.
+    def test_an_owner_of_which_news_come_late_gets_nothing_late(self):
+        self.owned()
+        leader = self.store.read("chervilmux-leases", "keyed#1")["holder"]
+        other = next(node for node in self.nodes if node.name != leader)
+        frozen = next(node for node in self.nodes if node.name == leader)
+        owner = next(server for server in self.keyed if server.holds_key(100))
+        other.door.late_s["servers"] = 1.0
+        with Callers([other], path="/keyed/k", key=100) as callers:
+            time.sleep(3)
+            frozen.process.send_signal(signal.SIGSTOP)
+            owner.register("draining")
+            told_at = time.monotonic()
+            time.sleep(DRAIN_S + 1)
+        frozen.process.send_signal(signal.SIGCONT)
+        self.assertGreater(max(owner.asked_at), told_at)
+        self.assert_none_late(owner, told_at)
+        self.assertGreater(callers.statuses.count(200), 50)
+
+
 if __name__ == "__main__":
     use_build(sys.argv.pop(1))
     unittest.main()
