Only the store's failure towards a copy's source excuses missing servers

Cause: where 0.3 of the servers vanish together they stay in use until 2.3 s after the last failure of the store, and a failure of any call at any instance counted, told by peers for as long as it lasted.

Ruled out: late news (both others heard of the removal from the store at once).

Change: the proof of a copy carries the last failure of the store towards whoever gave it; a fresher proof replaces it with its own, or with none. A failed call here counts only while the proof is one's own or nobody has proved the table for 1.5 s. Failures of calls for other tables do not count. missing_servers_kept in the log tells what is excused by which age. Sync replies carry it beside the old field, which older builds read.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -270,7 +270,6 @@
 /// call with a short wait; those with a long one may hang on dead ones too.
 void Node::OnProofFailed() {
   const Instant now = kernel::Now();
-  this->NoteStoreTrouble(now);
   this->instances_table.Renew(now);
   this->ranges_table.Renew(now);
 }
@@ -280,11 +279,6 @@
   for (TableFollower* follower : this->Followers()) follower->NoteEra(era);
 }
 
-void Node::NoteStoreTrouble(Instant at) {
-  this->store_trouble_at = std::max(this->store_trouble_at, at);
-  this->servers.NoteStoreTrouble(at);
-}
-
 void Node::OnConfiguration() {
   this->OnEvacuationRows();
   const auto& rows = this->configuration_table.Copy().Rows();
@@ -505,7 +499,11 @@
 
 void Node::UseServers() {
   const Instant now = kernel::Now();
-  if (!this->servers.Refresh(now)) return;
+  this->servers.SetStoreFailure(this->server_table.Proof().store_failed_at);
+  const std::size_t excused = this->servers.Excused();
+  const bool changed = this->servers.Refresh(now);
+  if (this->servers.Excused() > excused) this->LogExcusedServers(now);
+  if (!changed) return;
   dispatch::ServerDirectory directory;
   for (const auto& [id, server] : this->servers.InUse()) {
     directory[server.service].push_back(server);
@@ -521,6 +519,14 @@
                                this->servers.UnchangedUntil());
 }
 
+void Node::LogExcusedServers(Instant now) {
+  const Instant failed_at = this->server_table.Proof().store_failed_at;
+  observe::LogWarn(
+      "missing_servers_kept",
+      {{"count", std::to_string(this->servers.Excused())},
+       {"store_failed_ms_ago", std::to_string(kernel::ToMs(now - failed_at))}});
+}
+
 void Node::OnInstances() {
   // Rows are never removed: those that are missing were lost with an earlier
   // era of the store, and their instances register themselves again.
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -78,6 +78,7 @@
   void CheckEvacuatedDomains();
   void OnServerRows();
   void UseServers();
+  void LogExcusedServers(kernel::Instant now);
   /// Tells keyed services which servers may own keys.
   void TellKeyServicesOfServers(kernel::Instant now);
   void OnInstances();
@@ -92,7 +93,6 @@
   /// The copies that must be fresh, each proved by short calls of its own.
   std::array<TableFollower*, 2> ProvedTables();
   void OnLaterEra(std::uint64_t era);
-  void NoteStoreTrouble(kernel::Instant at);
   void Sync(kernel::Instant now);
   std::set<std::string> SyncTargets(kernel::Instant now);
   void SendSync(const std::string& address);
@@ -204,7 +204,6 @@
   replica::TableVersion registered_at;
   /// The copy that was last searched for that row.
   std::optional<replica::TableVersion> registration_checked;
-  kernel::Instant store_trouble_at = kernel::kNever;
   /// The course of a planned stop, fixed when it begins: a grace that changes
   /// later doesn't count.
   struct StopPlan {
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -198,10 +198,6 @@
 
 void Node::OnSyncReply(const SyncReply& reply, Instant sent_at) {
   this->was_answered = true;
-  if (reply.store_trouble_ms_ago >= 0) {
-    this->NoteStoreTrouble(kernel::Now() -
-                           milliseconds(reply.store_trouble_ms_ago));
-  }
   for (TableFollower* follower : this->Followers()) {
     const auto changes = reply.tables.find(follower->Table());
     if (changes != reply.tables.end()) follower->ApplyFromPeer(changes->second);
@@ -229,10 +225,13 @@
 
 void Node::TakeProofs(const SyncReply& reply, Instant sent_at) {
   for (TableFollower* follower : this->ProvedTables()) {
-    const auto proof = reply.proofs.find(follower->Table());
-    if (proof == reply.proofs.end()) continue;
-    follower->ApplyPeerProof(proof->second.as_of,
-                             sent_at - milliseconds(proof->second.age_ms));
+    const auto told = reply.proofs.find(follower->Table());
+    if (told == reply.proofs.end()) continue;
+    const TableProof& proof = told->second;
+    CopyProof taken{sent_at - milliseconds(proof.age_ms)};
+    if (proof.failed_ms_ago)
+      taken.store_failed_at = sent_at - milliseconds(*proof.failed_ms_ago);
+    follower->ApplyPeerProof(proof.as_of, taken);
   }
   const bool is_older_build = reply.proofs.empty();
   if (!is_older_build || reply.knowledge_age_ms < 0) return;
@@ -240,7 +239,7 @@
   const replica::TableVersion as_of = this->configuration_table.Copy().AsOf();
   if (reply.knowledge_era < as_of.era) return;
   this->configuration_table.ApplyPeerProof(
-      as_of, sent_at - milliseconds(reply.knowledge_age_ms));
+      as_of, {sent_at - milliseconds(reply.knowledge_age_ms)});
 }
 
 void Node::TakeWhatTheStoreLost(const SyncReply& reply) {
@@ -328,17 +327,21 @@
       reply.views.push_back(service->Owners());
   }
   for (const TableFollower* follower : this->ProvedTables()) {
-    if (follower->KnownAsOf() == kernel::kNever) continue;
-    reply.proofs[follower->Table()] = {
-        follower->Copy().AsOf(), kernel::ToMs(now - follower->KnownAsOf())};
+    const CopyProof& proof = follower->Proof();
+    if (proof.known_as_of == kernel::kNever) continue;
+    TableProof& told = reply.proofs[follower->Table()];
+    told.as_of = follower->Copy().AsOf();
+    told.age_ms = kernel::ToMs(now - proof.known_as_of);
+    if (proof.store_failed_at != kernel::kNever)
+      told.failed_ms_ago = kernel::ToMs(now - proof.store_failed_at);
   }
   if (const auto age = this->readers.KnowledgeAge(now)) {
     reply.knowledge_age_ms = kernel::ToMs(*age);
     reply.knowledge_era = this->configuration_table.Copy().Era();
   }
-  if (this->store_trouble_at != kernel::kNever) {
-    reply.store_trouble_ms_ago = kernel::ToMs(now - this->store_trouble_at);
-  }
+  const Instant store_failed_at = this->server_table.Proof().store_failed_at;
+  if (store_failed_at != kernel::kNever)
+    reply.store_trouble_ms_ago = kernel::ToMs(now - store_failed_at);
   return reply;
 }
 
--- a/src/node/peer_message.cc
+++ b/src/node/peer_message.cc
@@ -101,6 +101,7 @@
   json.append(Json::UInt64(proof.as_of.era));
   json.append(Json::UInt64(proof.as_of.version));
   json.append(Json::Int64(proof.age_ms));
+  if (proof.failed_ms_ago) json.append(Json::Int64(*proof.failed_ms_ago));
   return json;
 }
 
@@ -110,9 +111,14 @@
       !json[1].isUInt64()) {
     return std::nullopt;
   }
-  const TableProof proof{{json[0].asUInt64(), json[1].asUInt64()},
-                         MsFrom(json[2])};
+  TableProof proof;
+  proof.as_of = {json[0].asUInt64(), json[1].asUInt64()};
+  proof.age_ms = MsFrom(json[2]);
   if (proof.age_ms < 0) return std::nullopt;
+  if (json.size() > kFields) {
+    proof.failed_ms_ago = MsFrom(json[kFields]);
+    if (*proof.failed_ms_ago < 0) return std::nullopt;
+  }
   return proof;
 }
 
--- a/src/node/peer_message.h
+++ b/src/node/peer_message.h
@@ -85,6 +85,8 @@
 struct TableProof {
   replica::TableVersion as_of;  ///< Of the copy.
   std::int64_t age_ms = 0;      ///< Since it is known to have been the table.
+  /// Since the store last failed whoever has proved it; empty if it did not.
+  std::optional<std::int64_t> failed_ms_ago;
   bool operator==(const TableProof&) const = default;
 };
 
@@ -108,7 +110,8 @@
   std::int64_t knowledge_age_ms = -1;
   /// The era to which that knowledge belongs.
   std::uint64_t knowledge_era = 0;
-  /// Time since the store last failed the sender of this; negative: never.
+  /// The same for the servers as `failed_ms_ago`; negative: never. Read by
+  /// builds that know no proofs.
   std::int64_t store_trouble_ms_ago = -1;
 };
 
--- a/src/node/server_list.cc
+++ b/src/node/server_list.cc
@@ -166,10 +166,6 @@
   this->ForgetOldest();
 }
 
-void ServerList::NoteStoreTrouble(Instant at) {
-  this->trouble_at = std::max(this->trouble_at, at);
-}
-
 bool ServerList::LooksLikeOutage() const {
   const auto unannounced =
       std::ranges::count_if(this->missing, [this](const auto& entry) {
@@ -180,16 +176,18 @@
          kOutageShare * static_cast<double>(this->in_use.size());
 }
 
-bool ServerList::KeepsMissing(const model::BackendServer& server,
-                              const Missing& gap, Instant now) const {
-  if (gap.lost && now < gap.keep_until) return true;
-  if (server.draining) return false;
-  if (now < gap.keep_until) return true;
+ServerList::Keeping ServerList::KeepingOf(const model::BackendServer& server,
+                                          const Missing& gap,
+                                          Instant now) const {
+  if (gap.lost && now < gap.keep_until) return Keeping::kForAMoment;
+  if (server.draining) return Keeping::kDropped;
+  if (now < gap.keep_until) return Keeping::kForAMoment;
   // Only an outage that was under way shortly before explains the gap.
-  const bool explained = this->LooksLikeOutage() &&
-                         this->trouble_at != kernel::kNever &&
-                         this->trouble_at + kReturnTime > gap.since;
-  return explained && now < this->trouble_at + kReturnTime;
+  const bool is_explained = this->LooksLikeOutage() &&
+                            this->store_failed_at != kernel::kNever &&
+                            this->store_failed_at + kReturnTime > gap.since;
+  const bool may_return = now < this->store_failed_at + kReturnTime;
+  return is_explained && may_return ? Keeping::kExcused : Keeping::kDropped;
 }
 
 bool ServerList::Refresh(Instant now) {
@@ -200,11 +198,13 @@
   this->in_use_until =
       std::min(std::exchange(this->earliest_until, Instant::max()), now);
   ServersById next = this->listed;
+  this->excused = 0;
   for (const auto& [id, gap] : this->missing) {
     const auto server = this->in_use.find(id);
-    const bool keep = server != this->in_use.end() &&
-                      this->KeepsMissing(server->second, gap, now);
-    if (keep) next.insert(*server);
+    if (server == this->in_use.end()) continue;
+    const Keeping keeping = this->KeepingOf(server->second, gap, now);
+    if (keeping != Keeping::kDropped) next.insert(*server);
+    if (keeping == Keeping::kExcused) this->excused += 1;
   }
   std::erase_if(this->missing, [&next](const auto& entry) {
     return !next.contains(entry.first);
--- a/src/node/server_list.h
+++ b/src/node/server_list.h
@@ -4,7 +4,8 @@
 ///
 /// A row that vanishes means that its server has left, or that the server could
 /// not write while the store was away. In the second case it is back shortly
-/// after the store is, so such a server is kept in use for a moment.
+/// after the store is, so such a server is kept in use for a moment. Only a
+/// failure of the store towards whoever has read the rows tells of this case.
 ///
 /// What servers reported counts also after the store has come back from an
 /// older copy: until a server reports anew, rows tell nothing that is older
@@ -44,8 +45,10 @@
   void Update(const ServersById& rows, kernel::Instant unchanged_until,
               kernel::Instant now);
 
-  /// The store did not answer at `at`, here or at another instance.
-  void NoteStoreTrouble(kernel::Instant at);
+  /// When the store last failed to answer whoever has read the rows; kNever if
+  /// it did not. An earlier time replaces a later one: the rows may be known
+  /// from another reader meanwhile.
+  void SetStoreFailure(kernel::Instant at) { this->store_failed_at = at; }
 
   /// The store has come back from an older copy, whose rows the next Update()
   /// brings: they may lack what servers have reported since.
@@ -67,6 +70,9 @@
   /// Servers that are remembered, in use or not.
   std::size_t Remembered() const { return this->known.size(); }
   const ServersById& InUse() const { return this->in_use; }
+  /// Servers in use that are missing and would be gone but for the store's
+  /// failure, as of the last Refresh().
+  std::size_t Excused() const { return this->excused; }
 
  private:
   /// A server that has vanished from the rows.
@@ -92,7 +98,8 @@
   ServersById WithoutOldReports(const ServersById& rows, kernel::Instant now);
   void ForgetOldest();
   bool LooksLikeOutage() const;
-  bool KeepsMissing(const model::BackendServer& server, const Missing& gap,
+  enum class Keeping : std::uint8_t { kDropped, kForAMoment, kExcused };
+  Keeping KeepingOf(const model::BackendServer& server, const Missing& gap,
                     kernel::Instant now) const;
 
   ServersById listed;
@@ -100,7 +107,8 @@
   std::map<std::string, Known, std::less<>> known;
   ServersById in_use;
   std::vector<Departure> departures;
-  kernel::Instant trouble_at = kernel::kNever;
+  kernel::Instant store_failed_at = kernel::kNever;
+  std::size_t excused = 0;
   bool rows_changed = false;  ///< Since the last Refresh().
   /// The earliest `unchanged_until` since the last Refresh().
   kernel::Instant earliest_until = kernel::Instant::max();
--- a/src/node/table_follower.cc
+++ b/src/node/table_follower.cc
@@ -24,6 +24,10 @@
 /// taken in later was held up on its way, or by a process that stood still, and
 /// proves nothing about the time since.
 constexpr Duration kAnswerTime = milliseconds(300);
+/// Peers ask each other and the store several times within this long. If one of
+/// them has heard the store since, a failed call here is no failure of the
+/// store.
+constexpr Duration kPeerProofTime = milliseconds(1500);
 
 }  // namespace
 
@@ -122,8 +126,18 @@
 void TableFollower::OnAnswered(Instant answered_at) {
   const Duration wait = this->listing ? Duration(0) : this->wait;
   const Instant latest = this->called_at + wait + kAnswerTime;
-  this->known_as_of =
-      std::max(this->known_as_of, std::min(answered_at, latest));
+  const Instant known_as_of = std::min(answered_at, latest);
+  if (known_as_of < this->proof.known_as_of) return;
+  this->proof = {known_as_of, this->own_failure_at};
+  this->is_proof_own = true;
+}
+
+void TableFollower::NoteFailure(Instant now) {
+  const bool others_hear =
+      !this->is_proof_own && this->proof.known_as_of > now - kPeerProofTime;
+  if (others_hear) return;
+  this->own_failure_at = now;
+  this->proof.store_failed_at = now;
 }
 
 bool TableFollower::TakeTable(const std::vector<store::Row>& rows,
@@ -170,6 +184,7 @@
                       {"status", std::to_string(static_cast<int>(status))}});
   }
   this->lost = true;
+  this->NoteFailure(kernel::Now());
   this->Pause();
   this->events.on_store_failed();
 }
@@ -199,10 +214,12 @@
 }
 
 void TableFollower::ApplyPeerProof(replica::TableVersion as_of,
-                                   Instant known_at) {
+                                   const CopyProof& told) {
   const bool covers_it =
       as_of.era == this->copy.Era() && as_of <= this->copy.AsOf();
-  if (covers_it) this->known_as_of = std::max(this->known_as_of, known_at);
+  if (!covers_it || told.known_as_of <= this->proof.known_as_of) return;
+  this->proof = told;
+  this->is_proof_own = false;
 }
 
 }  // namespace chervilmux::node
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -7,6 +7,10 @@
 /// been the whole table. Only answers about this table move it, the store's to
 /// calls made here or those that a peer passes on, and never the age of another
 /// table or the start of a call that still waits.
+///
+/// The proof also tells when the store last failed whoever gave it, as opposed
+/// to whoever holds the copy: an instance that alone cannot reach the store
+/// knows what the others know, and its own failures say nothing about that.
 
 #ifndef CHERVILMUX_NODE_TABLE_FOLLOWER_H_
 #define CHERVILMUX_NODE_TABLE_FOLLOWER_H_
@@ -24,6 +28,16 @@
 
 namespace chervilmux::node {
 
+/// What is known of the freshness of a copy.
+struct CopyProof {
+  /// The last time at which the copy is known to have been the whole table;
+  /// kNever before the first proof.
+  kernel::Instant known_as_of = kernel::kNever;
+  /// When the store last failed to answer the instance that gave this proof;
+  /// kNever if it did not.
+  kernel::Instant store_failed_at = kernel::kNever;
+};
+
 /// What a follower tells its owner.
 struct FollowerEvents {
   std::function<void()> on_news;          ///< The copy has changed.
@@ -48,9 +62,9 @@
   /// Takes in what a peer knows.
   void ApplyFromPeer(const TableChanges& changes);
 
-  /// A peer's copy, whose changes this one has been told, was the whole table
-  /// at `known_at`. Proves nothing if this copy is of another era or older.
-  void ApplyPeerProof(replica::TableVersion as_of, kernel::Instant known_at);
+  /// Takes in the proof of a peer's copy, whose changes this one has been told.
+  /// It proves nothing if this copy is of another era or older.
+  void ApplyPeerProof(replica::TableVersion as_of, const CopyProof& told);
 
   const replica::RowReplica& Copy() const { return this->copy; }
   const std::string& Table() const { return this->table; }
@@ -62,10 +76,10 @@
   /// Whether the table was read whole once.
   bool Listed() const { return this->listed; }
 
-  /// The last time at which the copy is known to have been the whole table;
-  /// kNever before the first proof. While `on_news` runs, the time of the copy
-  /// before that news.
-  kernel::Instant KnownAsOf() const { return this->known_as_of; }
+  /// The latest proof of the copy; while `on_news` runs, that of the copy
+  /// before the news.
+  const CopyProof& Proof() const { return this->proof; }
+  kernel::Instant KnownAsOf() const { return this->proof.known_as_of; }
 
  private:
   void OnReply(const store::RowsReply& reply);
@@ -74,6 +88,8 @@
   void OnFailure(store::StoreStatus status);
   /// The store has answered the last call about the table as it then was.
   void OnAnswered(kernel::Instant answered_at);
+  /// The store has not answered the last call.
+  void NoteFailure(kernel::Instant now);
   void GiveUpCall();
   /// Puts off the next call, for longer after each failure.
   void Pause();
@@ -95,7 +111,10 @@
   bool lost = false;      ///< The last call failed.
   unsigned failures = 0;  ///< Calls in a row that brought nothing to use.
   kernel::Instant next_call = kernel::kNever;
-  kernel::Instant known_as_of = kernel::kNever;
+  CopyProof proof;
+  bool is_proof_own = true;  ///< Given by the store, not by a peer.
+  /// The last failure that may have been the store's.
+  kernel::Instant own_failure_at = kernel::kNever;
 };
 
 }  // namespace chervilmux::node
--- a/test/correctness/replica_test.cc
+++ b/test/correctness/replica_test.cc
@@ -173,7 +173,7 @@
                 start + seconds(1));
     THEN("it is dropped within 1 s, even if an instance lacks the store") {
       for (int ms = 1000; ms < 3000; ms += 100) {
-        list.NoteStoreTrouble(start + milliseconds(ms));
+        list.SetStoreFailure(start + milliseconds(ms));
       }
       list.Refresh(start + milliseconds(1500));
       CHECK(list.InUse().contains("a"));
@@ -192,7 +192,7 @@
     }
   }
   GIVEN("most rows missing after a store outage") {
-    list.NoteStoreTrouble(start + seconds(5));
+    list.SetStoreFailure(start + seconds(5));
     list.Update(MakeServerRows({"e", "f"}), start + milliseconds(5200),
                 start + milliseconds(5200));
     THEN("their servers stay until they have had time to register again") {
@@ -203,6 +203,14 @@
       list.Refresh(start + milliseconds(7400));
       CHECK(list.InUse().size() == 3);
     }
+    THEN("none stays when another reader heard the store all the while") {
+      list.Refresh(start + milliseconds(6500));
+      CHECK(list.Excused() == 4);
+      list.SetStoreFailure(kernel::kNever);
+      list.Refresh(start + milliseconds(6510));
+      CHECK(list.Excused() == 0);
+      CHECK(list.InUse().size() == 2);
+    }
   }
 }
 
@@ -257,15 +265,17 @@
   }
   SUBCASE("a reply tells how fresh each copy is") {
     node::SyncReply reply;
-    reply.proofs = {{"op", {{3, 9}, 40}}, {"servers", {{3, 12}, 700}}};
+    reply.proofs = {{"op", {{3, 9}, 40, std::nullopt}},
+                    {"servers", {{3, 12}, 700, 30}}};
     const auto told = node::DecodeSyncReply(node::EncodeSyncReply(reply));
     REQUIRE(told);
     CHECK(told.value().proofs == reply.proofs);
     const auto odd = node::DecodeSyncReply(
-        R"({"proofs":{"a":[1,2,-3],"b":7,"c":[1,2],"d":[-1,2,3],"e":[1,2,3]}})");
+        R"({"proofs":{"a":[1,2,-3],"b":7,"c":[1,2],"d":[-1,2,3],"e":[1,2,3],)"
+        R"("f":[1,2,3,-4]}})");
     REQUIRE(odd);
-    CHECK(odd.value().proofs ==
-          std::map<std::string, node::TableProof>{{"e", {{1, 2}, 3}}});
+    CHECK(odd.value().proofs == std::map<std::string, node::TableProof>{
+                                    {"e", {{1, 2}, 3, std::nullopt}}});
     CHECK(node::DecodeSyncReply(R"({"proofs":[1]})").value().proofs.empty());
   }
   SUBCASE("builds that tell neither are understood") {
--- a/test/correctness/table_follower_test.cc
+++ b/test/correctness/table_follower_test.cc
@@ -59,6 +59,18 @@
   std::size_t listings = 0;  ///< Of the calls.
 };
 
+/// A whole table of one row, as a peer sends it.
+TableChanges WholeTable(const std::string& key, std::uint64_t version,
+                        std::uint64_t era) {
+  TableChanges changes;
+  changes.all = true;
+  changes.as_of = {era, version};
+  store::Row& row = changes.rows.emplace_back();
+  row.key = key;
+  row.version = version;
+  return changes;
+}
+
 }  // namespace
 
 TEST_CASE("a follower whose connection to the store falls silent") {
@@ -94,22 +106,6 @@
   }
 }
 
-namespace {
-
-/// A whole table of one row, as a peer sends it.
-TableChanges WholeTable(const std::string& key, std::uint64_t version,
-                        std::uint64_t era) {
-  TableChanges changes;
-  changes.all = true;
-  changes.as_of = {era, version};
-  store::Row& row = changes.rows.emplace_back();
-  row.key = key;
-  row.version = version;
-  return changes;
-}
-
-}  // namespace
-
 // Failure: an instance takes its copy of the servers for fresh while nobody has
 // answered about the servers for seconds, and sends requests to one that has
 // left.
@@ -147,24 +143,84 @@
   }
   SUBCASE("by a peer whose copy is no newer") {
     const Instant asked_at = kernel::Now();
-    follower.ApplyPeerProof({1, 4}, asked_at);
+    follower.ApplyPeerProof({1, 4}, {asked_at});
     CHECK(follower.KnownAsOf() == asked_at);
     SUBCASE("which proves no less when it is told late") {
-      follower.ApplyPeerProof({1, 4}, listed);
+      follower.ApplyPeerProof({1, 4}, {listed});
       CHECK(follower.KnownAsOf() == asked_at);
     }
   }
   SUBCASE("not by a peer whose changes are not known here") {
-    follower.ApplyPeerProof({1, 6}, kernel::Now());
+    follower.ApplyPeerProof({1, 6}, {kernel::Now()});
     CHECK(follower.KnownAsOf() == listed);
   }
   SUBCASE("not by a peer with a copy of another era") {
-    follower.ApplyPeerProof({0, 4}, kernel::Now());
-    follower.ApplyPeerProof({2, 4}, kernel::Now());
+    follower.ApplyPeerProof({0, 4}, {kernel::Now()});
+    follower.ApplyPeerProof({2, 4}, {kernel::Now()});
     CHECK(follower.KnownAsOf() == listed);
   }
 }
 
+// Failure: an instance that alone cannot reach the store makes the others take
+// servers that have left for ones that the store's outage has hidden.
+TEST_CASE("a proof tells whether the store failed whoever gave it") {
+  OpenStore store;
+  TableFollower follower(store, "servers", milliseconds(700), {[] {}, [] {}});
+  const auto call = [&] { follower.CheckTime(kernel::Now() + seconds(1)); };
+  const auto fail = [&] {
+    call();
+    store.Answer(store.calls.size() - 1, store::StoreStatus::kNoAnswer, 0);
+  };
+  const auto answer = [&] {
+    call();
+    store.Answer(store.calls.size() - 1, store::StoreStatus::kDone, 1, 9);
+  };
+  const auto failed_at = [&] { return follower.Proof().store_failed_at; };
+  follower.CheckTime(kernel::Now());
+  store.Answer(0, "a", 5, 1);
+  CHECK(failed_at() == kernel::kNever);
+
+  SUBCASE("a failure here counts while the proof is the store's own") {
+    fail();
+    CHECK(failed_at() != kernel::kNever);
+    SUBCASE("and still when the store answers again") {
+      const Instant before = failed_at();
+      answer();
+      CHECK(failed_at() == before);
+    }
+    SUBCASE("until a peer proves that the store has answered it") {
+      follower.ApplyPeerProof({1, 5}, {kernel::Now()});
+      CHECK(failed_at() == kernel::kNever);
+      SUBCASE("and further ones are no failures of the store") {
+        fail();
+        CHECK(failed_at() == kernel::kNever);
+      }
+      SUBCASE("but a proof that is older changes nothing") {
+        follower.ApplyPeerProof(
+            {1, 5}, {kernel::Now() - seconds(1), kernel::Now() - seconds(2)});
+        CHECK(failed_at() == kernel::kNever);
+      }
+    }
+  }
+  SUBCASE("a failure that a peer met counts with its proof") {
+    const Instant peer_failed_at = kernel::Now() - milliseconds(300);
+    follower.ApplyPeerProof({1, 5}, {kernel::Now(), peer_failed_at});
+    CHECK(failed_at() == peer_failed_at);
+    SUBCASE("not with the store's own answer") {
+      answer();
+      CHECK(failed_at() == kernel::kNever);
+    }
+  }
+  SUBCASE("a failure here counts when nobody has heard the store lately") {
+    TableFollower late(store, "servers", milliseconds(700), {[] {}, [] {}});
+    late.ApplyFromPeer(WholeTable("a", 5, 1));
+    late.ApplyPeerProof({1, 5}, {kernel::Now() - seconds(2)});
+    late.CheckTime(kernel::Now());
+    store.Answer(store.calls.size() - 1, store::StoreStatus::kNoAnswer, 0);
+    CHECK(late.Proof().store_failed_at != kernel::kNever);
+  }
+}
+
 // Failure: an instance that stood still reads an answer from before, and tells
 // its peers that it knows the servers as they are now.
 TEST_CASE("an answer that was held up proves nothing about the time since") {
--- a/test/processes/freshness_test.py
+++ b/test/processes/freshness_test.py
@@ -110,6 +110,27 @@
         self.assertGreater(callers.statuses.count(200), 50)
 
 
+class LoneInstance(Freshness):
+    nodes_wanted = 3
+
+    # Failure: the trouble of one instance that cannot reach the store makes others,
+    # which hear it well, keep servers in use that have left without a report.
+    def test_servers_that_leave_while_one_instance_lacks_the_store_get_nothing_late(self):
+        lone, *others = self.nodes
+        with Callers(others, method="POST", path="/book/x", body=b"1") as callers:
+            time.sleep(1)
+            lone.door.fault = "drop"
+            time.sleep(1.5)
+            for server in self.plain[:2]:
+                server.leave()
+            told_at = time.monotonic()
+            time.sleep(DRAIN_S + 1.5)
+        for server in self.plain[:2]:
+            self.assertGreater(max(server.asked_at), told_at - 1)
+            self.assert_none_late(server, told_at)
+        self.assertGreater(callers.statuses.count(200), 50)
+
+
 if __name__ == "__main__":
     use_build(sys.argv.pop(1))
     unittest.main()
