What a peer tells of an earlier era is proved by no copy

Failure: after a restored store an instance that starts learns from a peer that an owner drains, and may send it requests for 1.6 s from the proof of its own copy, whose rows lack the report.

Cause: the proof of the restored rows passed for the last moment before the departure.

Change: a departure that a peer tells has no known last moment before it, so such an owner gets nothing more.

Measured: server_list_test "and what a peer tells of an earlier era from no proof" failed before and passes.

--- a/src/node/server_list.cc
+++ b/src/node/server_list.cc
@@ -77,6 +77,8 @@
       record.server.report_number = departure.report_number;
     record.server.draining = true;
     any_news = true;
+    // It left before a restore, at a time that no proof of the rows tells.
+    this->earliest_until = kernel::kNever;
     const auto used = this->in_use.find(departure.id);
     if (!left || used == this->in_use.end()) continue;
     // It was seen to leave: no outage explains that it is missing.
--- a/test/correctness/server_list_test.cc
+++ b/test/correctness/server_list_test.cc
@@ -361,6 +361,24 @@
   list.Update(rows, start + milliseconds(500), start + milliseconds(505));
   CHECK(list.Refresh(start + milliseconds(510)));
   CHECK(list.UnchangedUntil() == start + milliseconds(100));
+  // Failure: the proof of rows that lack a departure passes for the last time
+  // before it.
+  SUBCASE("and what a peer tells of an earlier era from no proof") {
+    const std::vector<Departure> told{{"a", kLife, 9, false}};
+    list.Update({{"a", MakeServer("a", 3)}}, start, start + seconds(1));
+    list.Refresh(start + seconds(1));
+    list.NoteRestored();
+    list.Update({{"a", MakeServer("a", 3)}}, start + seconds(2),
+                start + seconds(2));
+    list.Refresh(start + seconds(2));
+    CHECK(list.UnchangedUntil() == start + seconds(2));
+    CHECK(list.LearnFromPeer(told, start + seconds(3)));
+    list.Update({{"a", MakeServer("a", 3)}}, start + seconds(3),
+                start + seconds(3));
+    CHECK(list.Refresh(start + seconds(3)));
+    CHECK(list.InUse().at("a").draining);
+    CHECK(list.UnchangedUntil() == kernel::kNever);
+  }
   SUBCASE("and those after them from the proof that came between") {
     rows["c"] = MakeServer("c", 1);
     list.Update(rows, start + seconds(1), start + seconds(2));
