A peer proves a copy of its own version only

Failure: a peer that stood still and answers with an older copy could move the proof of a newer one.

Cause: a proof counted if the copy here was as new as the peer's or newer. The version is that of the whole store, so a peer with an older copy has not heard the store since.

Change: it counts for the same version only; what the peer lacks or adds is told before.

Measured: table_follower_test "not by a peer that lacks changes which are known here" is new.

--- a/src/node/table_follower.cc
+++ b/src/node/table_follower.cc
@@ -215,9 +215,8 @@
 
 void TableFollower::ApplyPeerProof(replica::TableVersion as_of,
                                    const CopyProof& told) {
-  const bool covers_it =
-      as_of.era == this->copy.Era() && as_of <= this->copy.AsOf();
-  if (!covers_it || told.known_as_of <= this->proof.known_as_of) return;
+  const bool is_of_this_copy = as_of == this->copy.AsOf();
+  if (!is_of_this_copy || told.known_as_of <= this->proof.known_as_of) return;
   this->proof = told;
   this->is_proof_own = false;
 }
--- a/src/node/table_follower.h
+++ b/src/node/table_follower.h
@@ -62,8 +62,9 @@
   /// Takes in what a peer knows.
   void ApplyFromPeer(const TableChanges& changes);
 
-  /// Takes in the proof of a peer's copy, whose changes this one has been told.
-  /// It proves nothing if this copy is of another era or older.
+  /// Takes in the proof of a peer's copy. It counts only if this copy is of the
+  /// same version: an older one lacks changes, and what a peer with an older
+  /// one takes for the present is past.
   void ApplyPeerProof(replica::TableVersion as_of, const CopyProof& told);
 
   const replica::RowReplica& Copy() const { return this->copy; }
--- a/test/correctness/table_follower_test.cc
+++ b/test/correctness/table_follower_test.cc
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -106,6 +107,16 @@
   }
 }
 
+namespace {
+
+/// Later than all that the test has done, also where the clock is coarse.
+Instant AfterAll() {
+  std::this_thread::sleep_for(milliseconds(2));
+  return kernel::Now();
+}
+
+}  // namespace
+
 // Failure: an instance takes its copy of the servers for fresh while nobody has
 // answered about the servers for seconds, and sends requests to one that has
 // left.
@@ -123,7 +134,7 @@
   const Instant listed = follower.KnownAsOf();
   CHECK(listed >= start);
   // The pause after news is over.
-  const Instant waiting = kernel::Now() + seconds(1);
+  const Instant waiting = AfterAll() + seconds(1);
   follower.CheckTime(waiting);
   REQUIRE(store.calls.size() == 2);
 
@@ -141,22 +152,26 @@
     CHECK(known_at_news == listed);
     CHECK(follower.KnownAsOf() > listed);
   }
-  SUBCASE("by a peer whose copy is no newer") {
-    const Instant asked_at = kernel::Now();
-    follower.ApplyPeerProof({1, 4}, {asked_at});
+  SUBCASE("by a peer whose copy is as new") {
+    const Instant asked_at = AfterAll();
+    follower.ApplyPeerProof({1, 5}, {asked_at});
     CHECK(follower.KnownAsOf() == asked_at);
     SUBCASE("which proves no less when it is told late") {
-      follower.ApplyPeerProof({1, 4}, {listed});
+      follower.ApplyPeerProof({1, 5}, {listed});
       CHECK(follower.KnownAsOf() == asked_at);
     }
   }
   SUBCASE("not by a peer whose changes are not known here") {
-    follower.ApplyPeerProof({1, 6}, {kernel::Now()});
+    follower.ApplyPeerProof({1, 6}, {AfterAll()});
+    CHECK(follower.KnownAsOf() == listed);
+  }
+  SUBCASE("not by a peer that lacks changes which are known here") {
+    follower.ApplyPeerProof({1, 4}, {AfterAll()});
     CHECK(follower.KnownAsOf() == listed);
   }
   SUBCASE("not by a peer with a copy of another era") {
-    follower.ApplyPeerProof({0, 4}, {kernel::Now()});
-    follower.ApplyPeerProof({2, 4}, {kernel::Now()});
+    follower.ApplyPeerProof({0, 5}, {AfterAll()});
+    follower.ApplyPeerProof({2, 5}, {AfterAll()});
     CHECK(follower.KnownAsOf() == listed);
   }
 }
@@ -166,7 +181,7 @@
 TEST_CASE("a proof tells whether the store failed whoever gave it") {
   OpenStore store;
   TableFollower follower(store, "servers", milliseconds(700), {[] {}, [] {}});
-  const auto call = [&] { follower.CheckTime(kernel::Now() + seconds(1)); };
+  const auto call = [&] { follower.CheckTime(AfterAll() + seconds(1)); };
   const auto fail = [&] {
     call();
     store.Answer(store.calls.size() - 1, store::StoreStatus::kNoAnswer, 0);
@@ -189,7 +204,7 @@
       CHECK(failed_at() == before);
     }
     SUBCASE("until a peer proves that the store has answered it") {
-      follower.ApplyPeerProof({1, 5}, {kernel::Now()});
+      follower.ApplyPeerProof({1, 5}, {AfterAll()});
       CHECK(failed_at() == kernel::kNever);
       SUBCASE("and further ones are no failures of the store") {
         fail();
@@ -204,7 +219,7 @@
   }
   SUBCASE("a failure that a peer met counts with its proof") {
     const Instant peer_failed_at = kernel::Now() - milliseconds(300);
-    follower.ApplyPeerProof({1, 5}, {kernel::Now(), peer_failed_at});
+    follower.ApplyPeerProof({1, 5}, {AfterAll(), peer_failed_at});
     CHECK(failed_at() == peer_failed_at);
     SUBCASE("not with the store's own answer") {
       answer();
