Review cases 11 and 12: the table of owners outgrows its row (RECOVER)

All owners of a service divided by key lie in one row of the store, and the number of their ranges only grows under load. With 361 upstreams the row passes 65,536 bytes after some 25 s; the store refuses it together with the lease, and no instance can lead again.

--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -165,6 +165,7 @@
         self.version = 0
         self.row_bytes = 65536
         self.refused_rows = 0
+        self.transaction_at = time.monotonic()  # the last one that was done
         self.gate = None  # a function of (method, path, call), may wait or return "drop"
         super().__init__()
 
@@ -235,6 +236,7 @@
                 self.refused_rows += 1
                 return wire.send_answer(400, b"{}")
             self.version += 1
+            self.transaction_at = time.monotonic()
             for row, value in zip(call["writes"], values):
                 self.write(row["table"], row["key"], value)
             for row in call["deletes"]:
