--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -521,10 +521,13 @@
             return [json.loads(line) for line in file if line.startswith("{")]
 
     def status_kb(self, field):
-        with open("/proc/%d/status" % self.process.pid, encoding="utf-8") as file:
-            for line in file:
-                if line.startswith(field + ":"):
-                    return int(line.split()[1])
+        try:
+            with open("/proc/%d/status" % self.process.pid, encoding="utf-8") as file:
+                for line in file:
+                    if line.startswith(field + ":"):
+                        return int(line.split()[1])
+        except OSError:
+            pass  # it has ended
         return 0
 
 
