--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -10,7 +10,7 @@
 import json
 import os
 import random
-import signal
+import resource
 import socket
 import subprocess
 import sys
@@ -578,6 +578,15 @@
     raise CannotRun("did not happen: " + what)
 
 
+def allow_descriptors(count):
+    """Descriptors for the clients and upstreams of this process."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != resource.RLIM_INFINITY and soft < count:
+        if hard != resource.RLIM_INFINITY and hard < count:
+            raise CannotRun("%d descriptors are needed" % count)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
+
+
 def run(folder, case):
     """Runs `case(record, temporary folder, started nodes)`, which returns the broken
     rule in words or "". Ends what was started, and the process."""
@@ -589,6 +598,7 @@
     status = 2
     with tempfile.TemporaryDirectory() as temporary:
         try:
+            allow_descriptors(8192)
             broken = case(record, temporary, nodes)
             record("verdict", trouble=TROUBLE, broken=broken)
             print("BROKEN: " + broken if broken else "held")
